Serve a request from end to end: daemons, client, stand-ins

Cause: the repository was empty. Change: the whole path kept thin. Folds of the log (membership, duties, rules, orders, operations, usage), a control actor on a thread of its own, a gateway for model calls and plain services, limits with one home for each account, fair queueing, the operators' client, and stand-ins for the platform, engines and services. Daemons that are not the home refuse (503, not run), as lending between daemons is not built yet. Conclusion: widen from here.

--- /dev/null
+++ b/client/src/main/java/org/ragwortpitch/client/ExitCode.java
@@ -0,0 +1,54 @@
+package org.ragwortpitch.client;
+
+/**
+ * The exit codes of the command line.
+ */
+public enum ExitCode {
+    /**
+     * The command succeeded.
+     */
+    OK(0),
+    /**
+     * The daemon refused or failed.
+     */
+    FAILED(1),
+    /**
+     * The command or its arguments are wrong; nothing was asked of a daemon.
+     */
+    USAGE(2),
+    /**
+     * The rules have changed since they were read; nothing was applied.
+     */
+    CONFLICT(3),
+    /**
+     * The daemon did not answer; the command may have taken effect.
+     */
+    NO_ANSWER(4),
+    /**
+     * The rules were accepted, but not all daemons had them in force in time.
+     */
+    NOT_IN_FORCE(5);
+
+    /**
+     * The number.
+     */
+    private final int code;
+
+    /**
+     * Makes an exit code.
+     *
+     * @param code the number
+     */
+    ExitCode(int code) {
+        this.code = code;
+    }
+
+    /**
+     * Tells the number.
+     *
+     * @return the number
+     */
+    public int code() {
+        return code;
+    }
+}
--- /dev/null
+++ b/client/src/main/java/org/ragwortpitch/client/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' command line.
+ */
+package org.ragwortpitch.client;
--- /dev/null
+++ b/daemon/src/main/java/org/ragwortpitch/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon's main.
+ */
+package org.ragwortpitch.daemon;
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/configuration/AccountRule.java
@@ -0,0 +1,13 @@
+package org.ragwortpitch.configuration;
+
+import org.ragwortpitch.identity.AccountId;
+
+/**
+ * A client account.
+ *
+ * @param id       the account
+ * @param weight   its share of the fleet under overload, relative to the other accounts
+ * @param tokens   its limit in tokens of prompt and output
+ * @param requests its limit in requests
+ */
+public record AccountRule(AccountId id, long weight, RateLimit tokens, RateLimit requests) {}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/duty/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Duties: work that one daemon at a time carries out for all.
+ */
+package org.ragwortpitch.duty;
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/identity/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Value types for the names that the system hands around.
+ */
+package org.ragwortpitch.identity;
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/journal/DutyClaimed.java
@@ -0,0 +1,10 @@
+package org.ragwortpitch.journal;
+
+import org.ragwortpitch.identity.DutyId;
+
+/**
+ * A member claims a vacant duty. The record's offset becomes the duty's term, which is also its fencing number.
+ *
+ * @param duty the duty
+ */
+public record DutyClaimed(DutyId duty) implements LogEntry {}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/journal/LogEntry.java
@@ -0,0 +1,21 @@
+package org.ragwortpitch.journal;
+
+/**
+ * The content of one log record. Readers skip kinds that they do not know.
+ */
+public sealed interface LogEntry
+        permits MemberJoined,
+                MemberRenewed,
+                MemberLeft,
+                MemberGone,
+                DutyClaimed,
+                DutyReleased,
+                ConfigurationChanged,
+                OrderIntended,
+                OrderClosed,
+                OperationStarted,
+                OperationEnded,
+                UsageRecorded,
+                WindowClosed,
+                WindowReported,
+                Checkpoint {}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/journal/LogRecord.java
@@ -0,0 +1,13 @@
+package org.ragwortpitch.journal;
+
+import org.ragwortpitch.identity.Incarnation;
+
+/**
+ * A record as read from the log.
+ *
+ * @param offset   the place in the log, which orders all records
+ * @param writer   the incarnation that wrote it
+ * @param sequence the writer's own count, by which readers drop repeated appends
+ * @param entry    the content
+ */
+public record LogRecord(long offset, Incarnation writer, long sequence, LogEntry entry) {}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/journal/WindowReported.java
@@ -0,0 +1,9 @@
+package org.ragwortpitch.journal;
+
+/**
+ * The platform has acknowledged a window's report.
+ *
+ * @param window the window, as its start in milliseconds since the epoch
+ * @param term   the writer's term of the usage duty
+ */
+public record WindowReported(long window, long term) implements LogEntry {}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/order/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Orders to endpoints and to the platform, each stated in the log before it is sent.
+ */
+package org.ragwortpitch.order;
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/routing/ForRandom.java
@@ -0,0 +1,18 @@
+package org.ragwortpitch.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses an endpoint at random; a baseline.
+ *
+ * @param random draws the endpoint
+ */
+public record ForRandom(RandomGenerator random) implements EndpointChooser {
+
+    @Override
+    public Optional<EndpointState> choose(Demand demand, List<EndpointState> candidates) {
+        return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/routing/ForRotation.java
@@ -0,0 +1,23 @@
+package org.ragwortpitch.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Chooses the endpoints in turn; a baseline.
+ */
+public final class ForRotation implements EndpointChooser {
+
+    /**
+     * How many choices were made.
+     */
+    private final AtomicLong choices = new AtomicLong();
+
+    @Override
+    public Optional<EndpointState> choose(Demand demand, List<EndpointState> candidates) {
+        return candidates.isEmpty()
+                ? Optional.empty()
+                : Optional.of(candidates.get((int) (choices.getAndIncrement() % candidates.size())));
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/routing/ForTwoChoices.java
@@ -0,0 +1,23 @@
+package org.ragwortpitch.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses the less loaded of two endpoints drawn at random (Mitzenmacher, 2001); a baseline.
+ *
+ * @param random draws the endpoints
+ */
+public record ForTwoChoices(RandomGenerator random) implements EndpointChooser {
+
+    @Override
+    public Optional<EndpointState> choose(Demand demand, List<EndpointState> candidates) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        EndpointState first = candidates.get(random.nextInt(candidates.size()));
+        EndpointState second = candidates.get(random.nextInt(candidates.size()));
+        return Optional.of(first.requests() <= second.requests() ? first : second);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which endpoint serves a request.
+ */
+package org.ragwortpitch.routing;
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/usage/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Usage of finished answers, gathered in windows that are frozen before they are reported.
+ */
+package org.ragwortpitch.usage;
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/closing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Clean-up of what a process has opened.
+ */
+package org.ragwortpitch.closing;
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/control/ControlActor.java
@@ -0,0 +1,184 @@
+package org.ragwortpitch.control;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.ragwortpitch.platform.PlatformLog;
+import org.ragwortpitch.platform.UsageReports;
+
+/**
+ * The control thread: an actor on a thread of its own that owns all control state.
+ */
+public final class ControlActor extends AbstractBehavior<ControlMessage> {
+
+    /**
+     * How often what is due is done, in milliseconds.
+     */
+    private static final long TICK_MILLIS = 50;
+
+    /**
+     * The most records of one read.
+     */
+    private static final int MAX_PAGE_RECORDS = 1_000;
+
+    /**
+     * How long a read waits for records, in milliseconds.
+     */
+    private static final long READ_WAIT_MILLIS = 500;
+
+    /**
+     * The clocks.
+     */
+    private final Clocks clocks;
+
+    /**
+     * The control state.
+     */
+    private final ControlCore core;
+
+    /**
+     * Makes the actor.
+     *
+     * @param context   the actor's context
+     * @param settings  the settings
+     * @param clocks    the clocks
+     * @param log       the platform's log
+     * @param reports   the platform's usage reports
+     * @param publisher takes each new snapshot
+     */
+    private ControlActor(
+            ActorContext<ControlMessage> context,
+            ControlSettings settings,
+            Clocks clocks,
+            PlatformLog log,
+            UsageReports reports,
+            Consumer<Snapshot> publisher) {
+        super(context);
+        this.clocks = clocks;
+        ActorRef<ControlMessage> self = context.getSelf();
+        this.core = new ControlCore(
+                settings,
+                new MessagingLogCalls(log, self),
+                (report, term) -> reports.report(report).whenComplete((done, failure) -> {
+                    if (failure == null && done.accepted()) {
+                        self.tell(new ReportDone(report.window(), term));
+                    } else {
+                        self.tell(new ReportFailed(report.window(), String.valueOf(failure)));
+                    }
+                }),
+                publisher);
+    }
+
+    /**
+     * Describes the actor.
+     *
+     * @param settings  the settings
+     * @param clocks    the clocks
+     * @param log       the platform's log
+     * @param reports   the platform's usage reports
+     * @param publisher takes each new snapshot, on the control thread
+     * @return the behavior
+     */
+    public static Behavior<ControlMessage> create(
+            ControlSettings settings,
+            Clocks clocks,
+            PlatformLog log,
+            UsageReports reports,
+            Consumer<Snapshot> publisher) {
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
+            timers.startTimerWithFixedDelay(Tick.INSTANCE, Duration.ofMillis(TICK_MILLIS));
+            return new ControlActor(context, settings, clocks, log, reports, publisher);
+        }));
+    }
+
+    @Override
+    public Receive<ControlMessage> createReceive() {
+        return newReceiveBuilder().onAnyMessage(this::take).build();
+    }
+
+    /**
+     * Takes a message, then does what is due.
+     *
+     * @param message the message
+     * @return this behavior
+     */
+    private Behavior<ControlMessage> take(ControlMessage message) {
+        long nowMillis = clocks.nowMillis();
+        if (message instanceof PageRead read) {
+            core.pageRead(read.sentMillis(), read.page(), nowMillis);
+        } else if (message instanceof ReadFailed failed) {
+            core.readFailed(failed.reason(), nowMillis);
+        } else if (message instanceof AppendDone done) {
+            core.appendDone(done);
+        } else if (message instanceof AppendFailed failed) {
+            core.appendFailed(failed, nowMillis);
+        } else if (message instanceof RecordUsage usage) {
+            core.recordUsage(usage);
+        } else if (message instanceof StartOperation start) {
+            core.startOperation(start, nowMillis, clocks.epochMillis());
+        } else if (message instanceof EndOperation end) {
+            core.endOperation(end);
+        } else {
+            takeSeldom(message, nowMillis);
+        }
+        core.tick(nowMillis, clocks.epochMillis());
+        return this;
+    }
+
+    /**
+     * Takes a message of a kind that comes seldom.
+     *
+     * @param message   the message
+     * @param nowMillis the present time, of the monotonic clock
+     */
+    private void takeSeldom(ControlMessage message, long nowMillis) {
+        if (message instanceof ProposeRules proposal) {
+            core.propose(proposal);
+        } else if (message instanceof ReportDone done) {
+            core.reportDone(done);
+        } else if (message instanceof ReportFailed failed) {
+            core.reportFailed(failed, nowMillis);
+        } else if (message instanceof BeginLeaving leaving) {
+            core.beginLeaving(leaving, nowMillis);
+        } else if (message instanceof AskState<?> question) {
+            question.answer(core.fold());
+        }
+    }
+
+    /**
+     * Calls the log and turns its answers into messages.
+     *
+     * @param platform the platform's log
+     * @param self     gets the messages
+     */
+    private record MessagingLogCalls(PlatformLog platform, ActorRef<ControlMessage> self) implements LogCalls {
+
+        @Override
+        public void append(long batch, List<String> texts) {
+            platform.append(texts).whenComplete((offset, failure) -> {
+                if (failure == null) {
+                    self.tell(new AppendDone(batch, offset));
+                } else {
+                    self.tell(new AppendFailed(batch, String.valueOf(failure.getMessage())));
+                }
+            });
+        }
+
+        @Override
+        public void read(long fromOffset, long sentMillis) {
+            platform.read(fromOffset, MAX_PAGE_RECORDS, READ_WAIT_MILLIS).whenComplete((page, failure) -> {
+                if (failure == null) {
+                    self.tell(new PageRead(sentMillis, page));
+                } else {
+                    self.tell(new ReadFailed(String.valueOf(failure.getMessage())));
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/control/LogTail.java
@@ -0,0 +1,110 @@
+package org.ragwortpitch.control;
+
+import java.util.Optional;
+import org.ragwortpitch.journal.Checkpoint;
+import org.ragwortpitch.journal.ControlFold;
+import org.ragwortpitch.journal.LogRecord;
+import org.ragwortpitch.journal.Verdict;
+import org.ragwortpitch.journal.codec.RecordCodec;
+import org.ragwortpitch.platform.LogPage;
+import org.ragwortpitch.platform.StoredRecord;
+
+/**
+ * Follows the log. If records that were not applied have been trimmed, it looks for a checkpoint, restores its state
+ * and goes on behind the prefix that the checkpoint states. Confined to the control thread.
+ */
+final class LogTail {
+
+    /**
+     * The fold that the records go to.
+     */
+    private final ControlFold fold;
+
+    /**
+     * What is told of each record.
+     */
+    private final AppliedListener listener;
+
+    /**
+     * The next offset to read.
+     */
+    private long nextOffset;
+
+    /**
+     * Whether a checkpoint is looked for.
+     */
+    private boolean seeking;
+
+    /**
+     * Makes a tail that begins at the start of the log.
+     *
+     * @param fold     the fold that the records go to
+     * @param listener what is told of each record
+     */
+    LogTail(ControlFold fold, AppliedListener listener) {
+        this.fold = fold;
+        this.listener = listener;
+    }
+
+    /**
+     * Takes a page.
+     *
+     * @param page the page
+     * @return whether the log's head as of the page is applied now
+     */
+    boolean take(LogPage page) {
+        if (!seeking && page.oldestOffset() > nextOffset) {
+            seeking = true;
+            nextOffset = page.oldestOffset();
+        }
+        for (StoredRecord stored : page.records()) {
+            if (stored.offset() == nextOffset) {
+                takeNext(stored, page.oldestOffset());
+            }
+        }
+        return !seeking && nextOffset >= page.headOffset();
+    }
+
+    /**
+     * Takes the next record.
+     *
+     * @param stored       the record as the log keeps it
+     * @param oldestOffset the oldest offset that is kept
+     */
+    private void takeNext(StoredRecord stored, long oldestOffset) {
+        nextOffset = stored.offset() + 1;
+        Optional<LogRecord> record = RecordCodec.decode(stored);
+        if (seeking) {
+            record.ifPresent(found -> tryRestore(found, oldestOffset));
+        } else if (record.isPresent()) {
+            Verdict verdict = fold.apply(record.get());
+            listener.applied(record.get(), verdict);
+        } else {
+            fold.skip(stored.offset());
+            listener.skipped(stored.offset());
+        }
+    }
+
+    /**
+     * Restores state if a record is a checkpoint whose following records are still kept.
+     *
+     * @param record       the record
+     * @param oldestOffset the oldest offset that is kept
+     */
+    private void tryRestore(LogRecord record, long oldestOffset) {
+        if (record.entry() instanceof Checkpoint checkpoint && checkpoint.upToOffset() + 1 >= oldestOffset) {
+            fold.restore(checkpoint);
+            nextOffset = fold.appliedOffset() + 1;
+            seeking = false;
+        }
+    }
+
+    /**
+     * Tells the next offset to read.
+     *
+     * @return the offset
+     */
+    long nextOffset() {
+        return nextOffset;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/control/Snapshot.java
@@ -0,0 +1,68 @@
+package org.ragwortpitch.control;
+
+import java.util.List;
+import org.ragwortpitch.configuration.Configuration;
+import org.ragwortpitch.duty.DutyTerm;
+import org.ragwortpitch.identity.Incarnation;
+import org.ragwortpitch.membership.Member;
+
+/**
+ * What traffic threads know of control state.
+ *
+ * @param self                 this daemon's incarnation
+ * @param isMember             whether it is a member as far as it has read
+ * @param leaving              whether it has begun a graceful shutdown
+ * @param configuration        the rules in force
+ * @param configurationVersion their version; -1 without any
+ * @param members              the members
+ * @param duties               the held duties
+ * @param appliedOffset        how far the log was applied
+ * @param leaseEndMillis       when the membership lease ends, of the monotonic clock
+ * @param contactMillis        when the log's head was last known to be applied, of the monotonic clock
+ */
+public record Snapshot(
+        Incarnation self,
+        boolean isMember,
+        boolean leaving,
+        Configuration configuration,
+        long configurationVersion,
+        List<Member> members,
+        List<DutyTerm> duties,
+        long appliedOffset,
+        long leaseEndMillis,
+        long contactMillis) {
+
+    /**
+     * Copies the lists.
+     */
+    public Snapshot {
+        members = List.copyOf(members);
+        duties = List.copyOf(duties);
+    }
+
+    /**
+     * What is known before anything was read.
+     */
+    public static final Snapshot EMPTY = new Snapshot(
+            new Incarnation(""),
+            false,
+            false,
+            Configuration.EMPTY,
+            -1,
+            List.of(),
+            List.of(),
+            -1,
+            Long.MIN_VALUE,
+            Long.MIN_VALUE);
+
+    /**
+     * Tells whether the rules are known to be recent enough to trust keys by them.
+     *
+     * @param limitMillis how old they may be, in milliseconds
+     * @param nowMillis   the present time, of the monotonic clock
+     * @return whether they are
+     */
+    public boolean isFresh(long limitMillis, long nowMillis) {
+        return contactMillis != Long.MIN_VALUE && nowMillis - contactMillis < limitMillis;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/control/Tick.java
@@ -0,0 +1,11 @@
+package org.ragwortpitch.control;
+
+/**
+ * Time has passed.
+ */
+public enum Tick implements ControlMessage {
+    /**
+     * The only instance.
+     */
+    INSTANCE
+}
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/gateway/ErrorAnswers.java
@@ -0,0 +1,93 @@
+package org.ragwortpitch.gateway;
+
+import java.lang.System.Logger;
+import java.util.Locale;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.scaladsl.model.EntityStreamException;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+import org.ragwortpitch.answer.ErrorKind;
+import org.ragwortpitch.answer.Ran;
+import org.ragwortpitch.answer.RefusedException;
+import org.ragwortpitch.http.Responses;
+import org.ragwortpitch.logging.Event;
+
+/**
+ * Turns failures into answers.
+ */
+public final class ErrorAnswers {
+
+    /**
+     * Where events go.
+     */
+    private static final Logger LOGGER = System.getLogger(ErrorAnswers.class.getName());
+
+    /**
+     * Not to be made.
+     */
+    private ErrorAnswers() {}
+
+    /**
+     * Finds what to tell of a failure.
+     *
+     * @param failure the failure
+     * @return the refusal
+     */
+    public static RefusedException refusalOf(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        if (cause instanceof RefusedException refused) {
+            return refused;
+        }
+        if (cause instanceof EntityStreamSizeException) {
+            return RefusedException.notRun(ErrorKind.TOO_LARGE, "the body is too large: shorten it");
+        }
+        if (cause instanceof EntityStreamException) {
+            return RefusedException.notRun(ErrorKind.BAD_REQUEST, "the body is malformed: send it whole");
+        }
+        if (cause instanceof TimeoutException) {
+            return new RefusedException(
+                    ErrorKind.TIMED_OUT, Ran.UNKNOWN, 1_000, "the deadline passed: try again later");
+        }
+        Event.of("unexpected-failure").with("reason", cause).warn(LOGGER);
+        return new RefusedException(
+                ErrorKind.UNAVAILABLE, Ran.UNKNOWN, 1_000, "the request failed within the daemon: try again later");
+    }
+
+    /**
+     * Makes the detail of an error.
+     *
+     * @param refused   the refusal
+     * @param requestId the request's id
+     * @return the body
+     */
+    public static ErrorBody body(RefusedException refused, String requestId) {
+        return new ErrorBody(new ErrorDetail(
+                refused.kind().name().toLowerCase(Locale.ROOT),
+                refused.getMessage(),
+                refused.ran().name().toLowerCase(Locale.ROOT),
+                requestId,
+                refused.retryAfterMillis()));
+    }
+
+    /**
+     * Makes the answer of an error.
+     *
+     * @param refused   the refusal
+     * @param requestId the request's id
+     * @return the answer
+     */
+    public static HttpResponse answer(RefusedException refused, String requestId) {
+        HttpResponse response = Responses.json(refused.kind().status(), body(refused, requestId))
+                .addHeader(RawHeader.create("X-Request-Id", requestId));
+        if (refused.retryAfterMillis() <= 0) {
+            return response;
+        }
+        long seconds = (refused.retryAfterMillis() + 999) / 1000;
+        return response.addHeader(RawHeader.create("Retry-After", Long.toString(seconds)));
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/gateway/ErrorBody.java
@@ -0,0 +1,10 @@
+package org.ragwortpitch.gateway;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * The body of an error.
+ *
+ * @param error the error
+ */
+public record ErrorBody(@JsonProperty("error") ErrorDetail error) {}
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics by the Prometheus client.
+ */
+package org.ragwortpitch.metrics;
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/server/SnapshotFollower.java
@@ -0,0 +1,111 @@
+package org.ragwortpitch.server;
+
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.ragwortpitch.admission.AdmissionControl;
+import org.ragwortpitch.configuration.AccountRule;
+import org.ragwortpitch.control.Clocks;
+import org.ragwortpitch.control.Snapshot;
+import org.ragwortpitch.dispatch.Dispatcher;
+import org.ragwortpitch.gateway.ActiveCalls;
+import org.ragwortpitch.metrics.ServerMetrics;
+
+/**
+ * Keeps the last snapshot of control state and brings it to the parts that act by it. Whoever reads a snapshot reads
+ * one that all parts have taken.
+ */
+final class SnapshotFollower implements Consumer<Snapshot>, Supplier<Snapshot> {
+
+    /**
+     * Control state as last published.
+     */
+    private final AtomicReference<Snapshot> latest = new AtomicReference<>(Snapshot.EMPTY);
+
+    /**
+     * The clocks.
+     */
+    private final Clocks clocks;
+
+    /**
+     * Admits requests.
+     */
+    private final AdmissionControl admission;
+
+    /**
+     * Gives requests endpoints.
+     */
+    private final Dispatcher dispatcher;
+
+    /**
+     * The calls under way.
+     */
+    private final ActiveCalls active;
+
+    /**
+     * The metrics.
+     */
+    private final ServerMetrics metrics;
+
+    /**
+     * Makes a follower that has seen nothing.
+     *
+     * @param clocks     the clocks
+     * @param admission  admits requests
+     * @param dispatcher gives requests endpoints
+     * @param active     the calls under way
+     * @param metrics    the metrics
+     */
+    SnapshotFollower(
+            Clocks clocks,
+            AdmissionControl admission,
+            Dispatcher dispatcher,
+            ActiveCalls active,
+            ServerMetrics metrics) {
+        this.clocks = clocks;
+        this.admission = admission;
+        this.dispatcher = dispatcher;
+        this.active = active;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public Snapshot get() {
+        return latest.get();
+    }
+
+    @Override
+    public void accept(Snapshot next) {
+        Snapshot last = latest.get();
+        boolean changed = next.configuration() != last.configuration();
+        boolean moved = changed || !next.members().equals(last.members());
+        admission.follow(next);
+        if (moved) {
+            dispatcher.follow(next.configuration(), next.members().size());
+        }
+        latest.set(next);
+        if (changed) {
+            active.endWithdrawn(next.configuration());
+            metrics.retainAccounts(next.configuration().accounts().stream()
+                    .map(AccountRule::id)
+                    .collect(Collectors.toSet()));
+        }
+        measure(next);
+    }
+
+    /**
+     * Sets the metrics of control state.
+     *
+     * @param next the snapshot
+     */
+    private void measure(Snapshot next) {
+        long nowMillis = clocks.nowMillis();
+        boolean never = next.contactMillis() == Long.MIN_VALUE;
+        metrics.control("applied_offset", next.appliedOffset());
+        metrics.control("rules_version", next.configurationVersion());
+        metrics.control("members", next.members().size());
+        metrics.control("lease_remaining_ms", Math.max(0, next.leaseEndMillis() - nowMillis));
+        metrics.control("contact_age_ms", never ? -1 : nowMillis - next.contactMillis());
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/ragwortpitch/server/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon as a library.
+ */
+package org.ragwortpitch.server;
