Let daemons lend, vouch, promise and hold usage for each other

Cause: only the home of an account could admit its requests, and in an outage of the log every daemon refused keyed calls and stopped its shares at the end of its lease. Change: calls between daemons by protobuf over Netty, authenticated frame by frame with a shared secret; loans from an account's home; the word of all members that none has newer rules, and that none will evict; records for members whose reads are slow; usage held by two members in other failure domains.

--- a/policy/src/main/java/org/ragwortpitch/journal/ControlFold.java
+++ b/policy/src/main/java/org/ragwortpitch/journal/ControlFold.java
@@ -1,10 +1,12 @@
 package org.ragwortpitch.journal;
 
 import java.util.List;
+import java.util.Optional;
 import org.ragwortpitch.configuration.ConfigurationFold;
 import org.ragwortpitch.duty.Duties;
 import org.ragwortpitch.duty.DutyFold;
 import org.ragwortpitch.identity.DutyId;
+import org.ragwortpitch.identity.Incarnation;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.membership.Member;
 import org.ragwortpitch.membership.MembershipFold;
@@ -71,10 +73,15 @@
         }
         appliedOffset = record.offset();
         if (record.entry() instanceof MemberJoined join) {
-            return membership.joined(record, join);
+            Optional<Incarnation> replaced = membership.replacedBy(join);
+            Verdict verdict = membership.joined(record, join);
+            if (verdict == Verdict.ACCEPTED) {
+                replaced.ifPresent(duties::departed);
+            }
+            return verdict;
         }
         if (record.entry() instanceof UsageRecorded recorded) {
-            return usage.recorded(recorded);
+            return usage.recorded(record, recorded);
         }
         Verdict admitted = membership.admit(record);
         return admitted == Verdict.ACCEPTED ? applyOfMember(record) : admitted;
--- a/policy/src/main/java/org/ragwortpitch/membership/EvictionWatch.java
+++ b/policy/src/main/java/org/ragwortpitch/membership/EvictionWatch.java
@@ -19,6 +19,17 @@
      */
     private final long waitMillis;
 
+    /**
+     * How long a newcomer waits before it evicts a member that has never taken note of it, in milliseconds. Such a
+     * member may be kept in by the word of others.
+     */
+    private final long newcomerWaitMillis;
+
+    /**
+     * Until when this daemon has given its word not to evict a member.
+     */
+    private final Map<Incarnation, Long> promisedUntilMillis = new HashMap<>();
+
     /**
      * The newest renewal seen of each member.
      */
@@ -31,6 +42,7 @@
      */
     public EvictionWatch(LeaseTiming timing) {
         this.waitMillis = timing.observerWaitMillis();
+        this.newcomerWaitMillis = timing.newcomerWaitMillis();
     }
 
     /**
@@ -44,23 +56,39 @@
         for (Member member : members) {
             ObservedRenewal last = observed.get(member.incarnation());
             boolean known = last != null && last.offset() == member.renewedOffset();
-            next.put(member.incarnation(), known ? last : new ObservedRenewal(member.renewedOffset(), nowMillis));
+            ObservedRenewal fresh = new ObservedRenewal(member.renewedOffset(), member.acknowledgedOffset(), nowMillis);
+            next.put(member.incarnation(), known ? last : fresh);
         }
         observed.clear();
         observed.putAll(next);
+        promisedUntilMillis.keySet().retainAll(next.keySet());
     }
 
     /**
-     * Tells which members may be declared gone.
+     * Gives a member the word that it will not be evicted for the length of a lease.
      *
-     * @param self      the observer, which is left out
+     * @param member    the member
      * @param nowMillis the present time
+     */
+    public void promise(Incarnation member, long nowMillis) {
+        promisedUntilMillis.merge(member, nowMillis + waitMillis, Math::max);
+    }
+
+    /**
+     * Tells which members may be declared gone.
+     *
+     * @param self         the observer, which is left out
+     * @param joinedOffset the offset of the observer's join
+     * @param nowMillis    the present time
      * @return one statement for each member whose lease has ended for certain
      */
-    public List<MemberGone> ended(Incarnation self, long nowMillis) {
+    public List<MemberGone> ended(Incarnation self, long joinedOffset, long nowMillis) {
         List<MemberGone> ended = new ArrayList<>();
         observed.forEach((incarnation, renewal) -> {
-            if (!incarnation.equals(self) && nowMillis - renewal.firstReadMillis() >= waitMillis) {
+            long wait = renewal.acknowledgedOffset() >= joinedOffset ? waitMillis : newcomerWaitMillis;
+            boolean over = nowMillis - renewal.firstReadMillis() >= wait;
+            boolean promised = nowMillis < promisedUntilMillis.getOrDefault(incarnation, Long.MIN_VALUE);
+            if (!incarnation.equals(self) && over && !promised) {
                 ended.add(new MemberGone(incarnation, renewal.offset()));
             }
         });
--- a/policy/src/main/java/org/ragwortpitch/membership/LeaseTiming.java
+++ b/policy/src/main/java/org/ragwortpitch/membership/LeaseTiming.java
@@ -36,6 +36,20 @@
         return new LeaseTiming(ttlMillis, renewMillis, driftPermille, marginMillis);
     }
 
+    /**
+     * How many times longer a newcomer waits.
+     */
+    private static final long NEWCOMER_FACTOR = 20;
+
+    /**
+     * Tells how long an observer waits before it may declare a member gone that has never taken note of it.
+     *
+     * @return the wait, in milliseconds
+     */
+    public long newcomerWaitMillis() {
+        return NEWCOMER_FACTOR * observerWaitMillis();
+    }
+
     /**
      * Tells how long an observer waits after first reading a renewal before it may declare the member gone.
      *
--- a/policy/src/main/java/org/ragwortpitch/membership/MembershipFold.java
+++ b/policy/src/main/java/org/ragwortpitch/membership/MembershipFold.java
@@ -56,6 +56,7 @@
         if (record.offset() - join.headOffset() > JOIN_WINDOW_RECORDS) {
             return Verdict.STALE;
         }
+        replacedBy(join).ifPresent(replaced -> depart(replaced, record.offset()));
         Member member = new Member(
                 record.writer(),
                 join.instance(),
@@ -71,6 +72,21 @@
         return Verdict.ACCEPTED;
     }
 
+    /**
+     * Finds the member whose process a join shows to have ended: the new one has bound the same address on the same
+     * instance.
+     *
+     * @param join the join
+     * @return the replaced member, if there is one
+     */
+    public Optional<Incarnation> replacedBy(MemberJoined join) {
+        return members.values().stream()
+                .filter(member -> member.instance().equals(join.instance())
+                        && member.peerAddress().equals(join.peerAddress()))
+                .map(Member::incarnation)
+                .findFirst();
+    }
+
     /**
      * Takes note of a member's record, and drops repeated ones.
      *
--- a/policy/src/main/java/org/ragwortpitch/usage/CountedRequest.java
+++ b/policy/src/main/java/org/ragwortpitch/usage/CountedRequest.java
@@ -8,6 +8,7 @@
  *
  * @param account the client account
  * @param request the request
- * @param window  the window in which it finished
+ * @param window  the latest window when it was counted
+ * @param offset  the offset of the record that counted it
  */
-public record CountedRequest(AccountId account, RequestId request, long window) {}
+public record CountedRequest(AccountId account, RequestId request, long window, long offset) {}
--- a/policy/src/main/java/org/ragwortpitch/usage/UsageFold.java
+++ b/policy/src/main/java/org/ragwortpitch/usage/UsageFold.java
@@ -27,6 +27,12 @@
      */
     public static final long COUNTED_KEPT_MILLIS = 900_000;
 
+    /**
+     * How many records of the log a counted request is remembered for at least, so that what several daemons held
+     * through an outage of the log is told apart when they write it all at once.
+     */
+    public static final long COUNTED_KEPT_RECORDS = 10_000;
+
     /**
      * How many reported windows are remembered for showing.
      */
@@ -45,7 +51,7 @@
     /**
      * The counted requests that are remembered, oldest first.
      */
-    private final Map<CountedKey, Long> counted = new LinkedHashMap<>();
+    private final Map<CountedKey, Counted> counted = new LinkedHashMap<>();
 
     /**
      * The latest window of any entry.
@@ -60,21 +66,23 @@
     /**
      * Takes usage. A request that was counted before is left out.
      *
-     * @param usage the usage
+     * @param record the record
+     * @param usage  its content
      * @return accepted if at least one entry was new
      */
-    public Verdict recorded(UsageRecorded usage) {
+    public Verdict recorded(LogRecord record, UsageRecorded usage) {
         Verdict verdict = Verdict.DUPLICATE;
         for (UsageEntry entry : usage.entries()) {
             CountedKey key = new CountedKey(entry.account(), entry.request());
-            if (counted.putIfAbsent(key, entry.window()) == null) {
+            Counted now = new Counted(Math.max(latestWindow, entry.window()), record.offset());
+            if (counted.putIfAbsent(key, now) == null) {
                 UsageLine line = UsageLine.of(entry);
                 open.merge(line.key(), line, UsageLine::plus);
                 latestWindow = Math.max(latestWindow, entry.window());
                 verdict = Verdict.ACCEPTED;
             }
         }
-        forgetCounted();
+        forgetCounted(record.offset());
         return verdict;
     }
 
@@ -154,7 +162,8 @@
      */
     public UsageState state() {
         List<CountedRequest> requests = new ArrayList<>();
-        counted.forEach((key, window) -> requests.add(new CountedRequest(key.account(), key.request(), window)));
+        counted.forEach((key, when) ->
+                requests.add(new CountedRequest(key.account(), key.request(), when.window(), when.offset())));
         return new UsageState(
                 latestWindow, closedWindow, List.copyOf(open.values()), List.copyOf(frozen.values()), requests);
     }
@@ -173,16 +182,24 @@
         state.openLines().forEach(line -> open.put(line.key(), line));
         state.frozen().forEach(window -> frozen.put(window.window(), window));
         state.counted()
-                .forEach(
-                        request -> counted.put(new CountedKey(request.account(), request.request()), request.window()));
+                .forEach(request -> counted.put(
+                        new CountedKey(request.account(), request.request()),
+                        new Counted(request.window(), request.offset())));
     }
 
     /**
-     * Forgets requests that were counted too long ago.
-     */
-    private void forgetCounted() {
-        Iterator<Long> oldest = counted.values().iterator();
-        while (oldest.hasNext() && oldest.next() < latestWindow - COUNTED_KEPT_MILLIS) {
+     * Forgets requests that were counted too long ago, both by the windows and by the records since.
+     *
+     * @param offset the present offset
+     */
+    private void forgetCounted(long offset) {
+        Iterator<Counted> oldest = counted.values().iterator();
+        while (oldest.hasNext()) {
+            Counted when = oldest.next();
+            boolean longAgo = when.window() < latestWindow - COUNTED_KEPT_MILLIS;
+            if (!longAgo || when.offset() > offset - COUNTED_KEPT_RECORDS) {
+                return;
+            }
             oldest.remove();
         }
     }
@@ -209,4 +226,12 @@
      * @param request the request
      */
     private record CountedKey(AccountId account, RequestId request) {}
+
+    /**
+     * When a request was counted.
+     *
+     * @param window the latest window by then
+     * @param offset the offset of the record
+     */
+    private record Counted(long window, long offset) {}
 }
--- a/server/src/main/java/org/ragwortpitch/admission/AdmissionControl.java
+++ b/server/src/main/java/org/ragwortpitch/admission/AdmissionControl.java
@@ -86,7 +86,7 @@
                 snapshot.members(),
                 snapshot.configuration().accounts(),
                 snapshot.appliedOffset(),
-                snapshot.isMember() ? snapshot.leaseEndMillis() : Long.MIN_VALUE);
+                snapshot.isMember() ? snapshot.limitEndMillis() : Long.MIN_VALUE);
         List<Surrender> surrendered;
         synchronized (limits) {
             surrendered = limits.update(view, clocks.nowMillis());
--- a/server/src/main/java/org/ragwortpitch/control/ControlActor.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlActor.java
@@ -115,15 +115,19 @@
         } else if (message instanceof ReadFailed failed) {
             core.readFailed(failed.reason(), nowMillis);
         } else if (message instanceof AppendDone done) {
-            core.appendDone(done);
+            core.writer().acknowledged(done.batch(), done.offset());
         } else if (message instanceof AppendFailed failed) {
             core.appendFailed(failed, nowMillis);
         } else if (message instanceof RecordUsage usage) {
-            core.recordUsage(usage);
+            core.writer().addUsage(usage.entry(), usage.durable());
         } else if (message instanceof StartOperation start) {
             core.startOperation(start, nowMillis, clocks.epochMillis());
         } else if (message instanceof EndOperation end) {
-            core.endOperation(end);
+            core.operations().end(end.key(), end.outcome());
+        } else if (message instanceof PeerPresence presence) {
+            core.peers().heard(presence.witness());
+        } else if (message instanceof AskPresence question) {
+            core.askPresence(question, nowMillis);
         } else {
             takeSeldom(message, nowMillis);
         }
@@ -139,13 +143,19 @@
      */
     private void takeSeldom(ControlMessage message, long nowMillis) {
         if (message instanceof ProposeRules proposal) {
-            core.propose(proposal);
+            core.rules().propose(proposal);
         } else if (message instanceof ReportDone done) {
-            core.reportDone(done);
+            core.reports().done(done);
         } else if (message instanceof ReportFailed failed) {
-            core.reportFailed(failed, nowMillis);
+            core.reports().failed(failed, nowMillis);
         } else if (message instanceof BeginLeaving leaving) {
             core.beginLeaving(leaving, nowMillis);
+        } else if (message instanceof PeerRecords records) {
+            core.peerRecords(records.records(), nowMillis);
+        } else if (message instanceof AskRecords question) {
+            core.askRecords(question);
+        } else if (message instanceof HoldUsage usage) {
+            core.peers().hold(usage);
         } else if (message instanceof AskState<?> question) {
             question.answer(core.fold());
         }
--- a/server/src/main/java/org/ragwortpitch/control/ControlCore.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlCore.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.control;
 
 import java.lang.System.Logger;
+import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.ragwortpitch.journal.Checkpoint;
@@ -9,7 +10,9 @@
 import org.ragwortpitch.journal.Verdict;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.membership.EvictionWatch;
+import org.ragwortpitch.membership.Member;
 import org.ragwortpitch.platform.LogPage;
+import org.ragwortpitch.platform.StoredRecord;
 import org.ragwortpitch.platform.UsageReport;
 
 /**
@@ -68,6 +71,11 @@
      */
     private final EvictionWatch watch;
 
+    /**
+     * What this daemon and other members tell each other.
+     */
+    private final PeerDesk peers;
+
     /**
      * Starts and ends operations.
      */
@@ -84,7 +92,7 @@
     private final ReportDesk reports;
 
     /**
-     * When the log's head was last known to be applied; the beginning of time before.
+     * When this daemon itself was last in touch with the log's head; the beginning of time before.
      */
     private long contactMillis = Long.MIN_VALUE;
 
@@ -122,6 +130,7 @@
         this.writer = new JournalWriter(log);
         this.session = new MemberSession(settings.identity(), settings.timing(), fold, writer);
         this.watch = new EvictionWatch(settings.timing());
+        this.peers = new PeerDesk(settings, fold, writer, session, watch);
         this.operations = new OperationDesk(fold, writer);
         this.rules = new RulesDesk(fold, writer);
         this.reports = new ReportDesk(fold, writer, reportSender);
@@ -140,7 +149,7 @@
         if (session.believes(nowMillis) && !readFailing) {
             plan(nowMillis, wallMillis);
         }
-        publish();
+        publish(nowMillis);
         writer.flush(session.incarnation(), nowMillis);
         if (!reading && nowMillis >= readAtMillis) {
             reading = true;
@@ -155,7 +164,11 @@
      * @param wallMillis the present time, in milliseconds since the epoch
      */
     private void plan(long nowMillis, long wallMillis) {
-        watch.ended(session.incarnation(), nowMillis).stream()
+        long joinedOffset = fold.membership()
+                .find(session.incarnation())
+                .map(Member::joinedOffset)
+                .orElse(Long.MAX_VALUE);
+        watch.ended(session.incarnation(), joinedOffset, nowMillis).stream()
                 .filter(gone -> !writer.hasPending(gone::equals))
                 .forEach(writer::add);
         settings
@@ -185,10 +198,60 @@
             contactMillis = Math.max(contactMillis, sentMillis);
         }
         if (!page.records().isEmpty()) {
-            watch.observe(fold.members(), nowMillis);
-            if (rules.refresh()) {
-                session.renewSoon();
-            }
+            applied(nowMillis);
+        }
+    }
+
+    /**
+     * Follows up on records that were applied.
+     *
+     * @param nowMillis the present time, of the monotonic clock
+     */
+    private void applied(long nowMillis) {
+        watch.observe(fold.members(), nowMillis);
+        peers.retainMembers();
+        if (rules.refresh()) {
+            session.renewSoon();
+        }
+    }
+
+    /**
+     * Answers another member with records.
+     *
+     * @param question the question
+     */
+    void askRecords(AskRecords question) {
+        question.result().complete(tail.remembered(question.fromOffset()));
+    }
+
+    /**
+     * Answers another member how far this one is.
+     *
+     * @param question  the question
+     * @param nowMillis the present time, of the monotonic clock
+     */
+    void askPresence(AskPresence question, long nowMillis) {
+        peers.answer(question, contactMillis, nowMillis);
+    }
+
+    /**
+     * Gives access to what other members tell.
+     *
+     * @return the desk
+     */
+    PeerDesk peers() {
+        return peers;
+    }
+
+    /**
+     * Takes records that another member has sent.
+     *
+     * @param records   the records
+     * @param nowMillis the present time, of the monotonic clock
+     */
+    void peerRecords(List<StoredRecord> records, long nowMillis) {
+        if (tail.takeFromPeer(records)) {
+            applied(nowMillis);
         }
     }
 
@@ -207,15 +270,6 @@
         readFailing = true;
     }
 
-    /**
-     * Takes the log's acknowledgement of a batch.
-     *
-     * @param done the acknowledgement
-     */
-    void appendDone(AppendDone done) {
-        writer.acknowledged(done.batch(), done.offset());
-    }
-
     /**
      * Takes the failure of a batch.
      *
@@ -260,8 +314,10 @@
 
     /**
      * Publishes a snapshot.
+     *
+     * @param nowMillis the present time, of the monotonic clock
      */
-    private void publish() {
+    private void publish(long nowMillis) {
         publisher.accept(new Snapshot(
                 session.incarnation(),
                 session.isMember(),
@@ -272,7 +328,8 @@
                 fold.duties().terms(),
                 fold.appliedOffset(),
                 session.leaseEndMillis(),
-                contactMillis));
+                Math.max(session.leaseEndMillis(), peers.promisedMillis()),
+                peers.vouchedMillis(contactMillis, nowMillis)));
     }
 
     @Override
@@ -288,49 +345,39 @@
     }
 
     /**
-     * Ends an operation.
+     * Gives access to operations.
      *
-     * @param request the end
+     * @return the desk
      */
-    void endOperation(EndOperation request) {
-        operations.end(request.key(), request.outcome());
+    OperationDesk operations() {
+        return operations;
     }
 
     /**
-     * Proposes other rules.
+     * Gives access to the rules.
      *
-     * @param proposal the proposal
+     * @return the desk
      */
-    void propose(ProposeRules proposal) {
-        rules.propose(proposal);
+    RulesDesk rules() {
+        return rules;
     }
 
     /**
-     * Records usage.
+     * Gives access to usage reports.
      *
-     * @param request the usage
+     * @return the desk
      */
-    void recordUsage(RecordUsage request) {
-        writer.addUsage(request.entry(), request.durable());
+    ReportDesk reports() {
+        return reports;
     }
 
     /**
-     * Takes the platform's acknowledgement of a report.
+     * Gives access to what is on its way into the log.
      *
-     * @param done the acknowledgement
-     */
-    void reportDone(ReportDone done) {
-        reports.done(done);
-    }
-
-    /**
-     * Takes a report's failure.
-     *
-     * @param failed    the failure
-     * @param nowMillis the present time, of the monotonic clock
+     * @return the writer
      */
-    void reportFailed(ReportFailed failed, long nowMillis) {
-        reports.failed(failed, nowMillis);
+    JournalWriter writer() {
+        return writer;
     }
 
     /**
--- a/server/src/main/java/org/ragwortpitch/control/ControlMessage.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlMessage.java
@@ -16,5 +16,9 @@
                 ReportDone,
                 ReportFailed,
                 BeginLeaving,
-                PeerOffset,
+                PeerPresence,
+                PeerRecords,
+                AskPresence,
+                AskRecords,
+                HoldUsage,
                 AskState {}
--- a/server/src/main/java/org/ragwortpitch/control/ControlSettings.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlSettings.java
@@ -10,5 +10,7 @@
  * @param timing      the times of the lease
  * @param planner     decides what to write for the sake of duties
  * @param freshMillis how old the rules may be when keys are trusted by them, in milliseconds
+ * @param outageKeys  what becomes of keyed routes while the log is not reached
  */
-public record ControlSettings(MemberIdentity identity, LeaseTiming timing, DutyPlanner planner, long freshMillis) {}
+public record ControlSettings(
+        MemberIdentity identity, LeaseTiming timing, DutyPlanner planner, long freshMillis, OutageKeys outageKeys) {}
--- a/server/src/main/java/org/ragwortpitch/control/LogTail.java
+++ b/server/src/main/java/org/ragwortpitch/control/LogTail.java
@@ -1,5 +1,8 @@
 package org.ragwortpitch.control;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import org.ragwortpitch.journal.Checkpoint;
 import org.ragwortpitch.journal.ControlFold;
@@ -15,6 +18,11 @@
  */
 final class LogTail {
 
+    /**
+     * How many of the records applied last are remembered.
+     */
+    private static final int REMEMBERED_RECORDS = 1_000;
+
     /**
      * The fold that the records go to.
      */
@@ -35,6 +43,11 @@
      */
     private boolean seeking;
 
+    /**
+     * The records applied last, to be handed to members whose reads are slow.
+     */
+    private final Deque<StoredRecord> remembered = new ArrayDeque<>();
+
     /**
      * Makes a tail that begins at the start of the log.
      *
@@ -65,6 +78,38 @@
         return !seeking && nextOffset >= page.headOffset();
     }
 
+    /**
+     * Takes records that another member has applied, as far as they follow without a gap.
+     *
+     * @param records the records in the order of their offsets
+     * @return whether any was applied
+     */
+    boolean takeFromPeer(List<StoredRecord> records) {
+        long before = nextOffset;
+        for (StoredRecord stored : records) {
+            if (!seeking && nextOffset > 0 && stored.offset() == nextOffset) {
+                takeNext(stored, 0);
+            }
+        }
+        return nextOffset > before;
+    }
+
+    /**
+     * Tells the records applied last.
+     *
+     * @param fromOffset the first offset wanted
+     * @return the records from there, as far as they are remembered without a gap
+     */
+    List<StoredRecord> remembered(long fromOffset) {
+        boolean reaches =
+                !seeking && !remembered.isEmpty() && remembered.peekFirst().offset() <= fromOffset;
+        return reaches
+                ? remembered.stream()
+                        .filter(stored -> stored.offset() >= fromOffset)
+                        .toList()
+                : List.of();
+    }
+
     /**
      * Takes the next record.
      *
@@ -73,6 +118,10 @@
      */
     private void takeNext(StoredRecord stored, long oldestOffset) {
         nextOffset = stored.offset() + 1;
+        remembered.addLast(stored);
+        if (remembered.size() > REMEMBERED_RECORDS) {
+            remembered.removeFirst();
+        }
         Optional<LogRecord> record = RecordCodec.decode(stored);
         if (seeking) {
             record.ifPresent(found -> tryRestore(found, oldestOffset));
--- a/server/src/main/java/org/ragwortpitch/control/Snapshot.java
+++ b/server/src/main/java/org/ragwortpitch/control/Snapshot.java
@@ -18,6 +18,7 @@
  * @param duties               the held duties
  * @param appliedOffset        how far the log was applied
  * @param leaseEndMillis       when the membership lease ends, of the monotonic clock
+ * @param limitEndMillis       when this daemon must stop to spend its shares of limits, of the monotonic clock
  * @param contactMillis        when the log's head was last known to be applied, of the monotonic clock
  */
 public record Snapshot(
@@ -30,6 +31,7 @@
         List<DutyTerm> duties,
         long appliedOffset,
         long leaseEndMillis,
+        long limitEndMillis,
         long contactMillis) {
 
     /**
@@ -53,6 +55,7 @@
             List.of(),
             -1,
             Long.MIN_VALUE,
+            Long.MIN_VALUE,
             Long.MIN_VALUE);
 
     /**
--- a/server/src/main/java/org/ragwortpitch/server/Daemon.java
+++ b/server/src/main/java/org/ragwortpitch/server/Daemon.java
@@ -1,9 +1,7 @@
 package org.ragwortpitch.server;
 
-import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import java.lang.System.Logger;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -18,12 +16,10 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.japi.function.Function;
 import org.ragwortpitch.admission.AdmissionControl;
-import org.ragwortpitch.admission.NoLenders;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.control.Clocks;
 import org.ragwortpitch.control.ControlActor;
 import org.ragwortpitch.control.ControlMessage;
-import org.ragwortpitch.control.RecordUsage;
 import org.ragwortpitch.control.Snapshot;
 import org.ragwortpitch.dispatch.Dispatcher;
 import org.ragwortpitch.dispatch.HttpEngines;
@@ -39,10 +35,15 @@
 import org.ragwortpitch.metrics.ServerMetrics;
 import org.ragwortpitch.operations.OperatorHandler;
 import org.ragwortpitch.operations.StatusBuilder;
+import org.ragwortpitch.peering.PeerAnswers;
+import org.ragwortpitch.peering.PeerNetwork;
+import org.ragwortpitch.peering.UsageKeeper;
 import org.ragwortpitch.platform.HttpPlatform;
 import org.ragwortpitch.routing.ForEstimatedFinish;
 import org.ragwortpitch.settings.InvalidSettingException;
-import org.ragwortpitch.usage.UsageEntry;
+import org.ragwortpitch.wire.PeerService;
+import org.ragwortpitch.wire.PeerTransport;
+import org.ragwortpitch.wire.SharedSecret;
 
 /**
  * A running daemon.
@@ -84,11 +85,21 @@
      */
     private static final long POLL_MILLIS = 500;
 
+    /**
+     * How often other daemons are asked how far they are, in milliseconds.
+     */
+    private static final long PRESENCE_MILLIS = 500;
+
     /**
      * How often queues are looked through, in milliseconds.
      */
     private static final long QUEUE_TICK_MILLIS = 20;
 
+    /**
+     * How long usage waits for the log before other daemons are asked to hold it, in milliseconds.
+     */
+    private static final long LOG_WAIT_MILLIS = 300;
+
     /**
      * How long a connection may stay silent, in milliseconds.
      */
@@ -124,6 +135,16 @@
      */
     private final ActiveCalls active = new ActiveCalls();
 
+    /**
+     * Control state as last published.
+     */
+    private final AtomicReference<Snapshot> latest = new AtomicReference<>(Snapshot.EMPTY);
+
+    /**
+     * Sends messages to the control thread.
+     */
+    private final Mailbox mailbox = new Mailbox();
+
     /**
      * The actor system.
      */
@@ -135,24 +156,24 @@
     private final ScheduledExecutorService timer;
 
     /**
-     * Admits requests.
+     * Carries calls to and from other daemons.
      */
-    private final AdmissionControl admission;
+    private final PeerTransport transport;
 
     /**
-     * Gives requests endpoints.
+     * Asks other daemons.
      */
-    private final Dispatcher dispatcher;
+    private final PeerNetwork network;
 
     /**
-     * Brings control state to the parts that act by it.
+     * Admits requests.
      */
-    private final SnapshotFollower snapshot;
+    private final AdmissionControl admission;
 
     /**
-     * The control thread.
+     * Gives requests endpoints.
      */
-    private final ActorRef<ControlMessage> control;
+    private final Dispatcher dispatcher;
 
     /**
      * The binding for callers.
@@ -172,82 +193,72 @@
      */
     public Daemon(DaemonSettings settings) throws InvalidSettingException {
         this.settings = settings;
-        Config config = ConfigFactory.load("ragwortpitch");
-        this.system = ActorSystem.create("ragwortpitch", config);
+        PlaceSettings place = settings.place();
+        this.system = ActorSystem.create("ragwortpitch", ConfigFactory.load("ragwortpitch"));
         closer.add(() -> {
             system.terminate();
             system.getWhenTerminated().toCompletableFuture().join();
         });
         this.timer = Executors.newSingleThreadScheduledExecutor();
         closer.add(timer::shutdownNow);
-        this.admission = new AdmissionControl(HOME_COUNT, clocks, NoLenders.INSTANCE);
+        AtomicReference<PeerService> answers = new AtomicReference<>();
+        this.transport = closer.add(new PeerTransport(
+                new SharedSecret(place.peerSecret()), place.listenHost(), place.peerPort(), call -> answers.get()
+                        .answer(call)));
+        this.network = new PeerNetwork(transport, latest::get, mailbox, clocks, settings.failureDomain());
+        this.admission = new AdmissionControl(HOME_COUNT, clocks, network);
+        answers.set(new PeerAnswers(admission, mailbox));
         this.dispatcher = new Dispatcher(
                 clocks,
                 settings.queueBounds(),
                 new ForEstimatedFinish(settings.failureDomain(), CROSSING_MICROS, REPORT_HALF_MILLIS));
-        this.snapshot = new SnapshotFollower(clocks, admission, dispatcher, active, metrics);
         HttpEngines engines = new HttpEngines(system);
-        AtomicReference<ActorRef<ControlMessage>> controlLater = new AtomicReference<>();
-        this.callers = bind(
-                settings.place().callerPort(),
-                new CallerHandler(gatewayParts(engines, controlLater), snapshot, message -> controlLater
-                        .get()
-                        .tell(message)));
-        this.operators = bind(
-                settings.place().operatorPort(),
-                new OperatorHandler(
-                        system,
-                        settings.place().operatorToken(),
-                        snapshot,
-                        message -> controlLater.get().tell(message),
-                        new StatusBuilder(settings.instance(), admission, dispatcher),
-                        metrics,
-                        clocks));
-        this.control = startControl();
-        controlLater.set(control);
-        LoadPoller poller = new LoadPoller(clocks, engines, dispatcher);
-        every(POLL_MILLIS, () -> poller.poll(snapshot.get().configuration()));
-        every(QUEUE_TICK_MILLIS, dispatcher::tick);
+        this.callers = bind(place.callerPort(), new CallerHandler(gatewayParts(engines), latest::get, mailbox));
+        this.operators = bind(place.operatorPort(), operatorHandler());
+        mailbox.attach(startControl());
+        startTasks(new LoadPoller(clocks, engines, dispatcher));
         Event.of("daemon-ready")
                 .with("instance", settings.instance())
                 .with("callers", callerAddress())
                 .with("operators", operatorAddress())
+                .with("peers", place.listenHost() + ":" + transport.port())
                 .info(LOGGER);
     }
 
     /**
      * Gathers the parts that the gateway uses.
      *
-     * @param engines      supplies clients of engines
-     * @param controlLater the control thread, set before any call comes
+     * @param engines supplies clients of engines
      * @return the parts
      */
-    private GatewayParts gatewayParts(HttpEngines engines, AtomicReference<ActorRef<ControlMessage>> controlLater) {
-        RunParts runs = new RunParts(
-                dispatcher, engines, new SharedRetryBudget(RETRY_EARNED_PERMILLE, MAX_SAVED_RETRIES), metrics, clocks);
+    private GatewayParts gatewayParts(HttpEngines engines) {
+        SharedRetryBudget budget = new SharedRetryBudget(RETRY_EARNED_PERMILLE, MAX_SAVED_RETRIES);
         return new GatewayParts(
                 system,
                 settings.gateway(),
                 clocks,
                 admission,
-                runs,
-                entry -> record(entry, controlLater.get()),
+                new RunParts(dispatcher, engines, budget, metrics, clocks),
+                new UsageKeeper(
+                        mailbox, network, LOG_WAIT_MILLIS, settings.gateway().usageHoldMillis()),
                 active,
                 metrics);
     }
 
     /**
-     * Records usage; a finish is held back until it is durable, or for as long as the settings say.
+     * Makes what answers operators.
      *
-     * @param entry the usage
-     * @param to    the control thread
-     * @return done when the finish may be told
-     */
-    private CompletableFuture<Boolean> record(UsageEntry entry, ActorRef<ControlMessage> to) {
-        CompletableFuture<Long> durable = new CompletableFuture<>();
-        to.tell(new RecordUsage(entry, durable));
-        return durable.thenApply(offset -> true)
-                .completeOnTimeout(false, settings.gateway().usageHoldMillis(), TimeUnit.MILLISECONDS);
+     * @return the handler
+     */
+    private OperatorHandler operatorHandler() {
+        return new OperatorHandler(
+                system,
+                settings.place().operatorToken(),
+                latest::get,
+                mailbox,
+                new StatusBuilder(settings.instance(), admission, dispatcher),
+                metrics,
+                clocks);
     }
 
     /**
@@ -257,20 +268,31 @@
      * @throws InvalidSettingException if a setting cannot be used after all
      */
     private ActorRef<ControlMessage> startControl() throws InvalidSettingException {
-        HttpPlatform platform = new HttpPlatform(
-                new JsonClient(system),
-                settings.place().platformUri(),
-                settings.place().platformTimeoutMillis());
-        String peerAddress =
-                settings.place().listenHost() + ":" + settings.place().peerPort();
+        PlaceSettings place = settings.place();
+        HttpPlatform platform =
+                new HttpPlatform(new JsonClient(system), place.platformUri(), place.platformTimeoutMillis());
+        SnapshotFollower follower = new SnapshotFollower(latest, clocks, admission, dispatcher, active, metrics);
+        String peerAddress = place.listenHost() + ":" + transport.port();
         return Adapter.spawn(
                 system,
                 ControlActor.create(
-                        settings.control(callerAddress(), peerAddress), clocks, platform, platform, snapshot),
+                        settings.control(callerAddress(), peerAddress), clocks, platform, platform, follower),
                 "control",
                 DispatcherSelector.fromConfig("ragwortpitch.control-dispatcher"));
     }
 
+    /**
+     * Starts what is done from time to time.
+     *
+     * @param poller asks engines for their load
+     */
+    private void startTasks(LoadPoller poller) {
+        every(POLL_MILLIS, () -> poller.poll(latest.get().configuration()));
+        every(PRESENCE_MILLIS, network::tick);
+        every(QUEUE_TICK_MILLIS, dispatcher::tick);
+        every(PRESENCE_MILLIS, () -> metrics.control("peer_sent_bytes", transport.sentBytes()));
+    }
+
     /**
      * Serves a port.
      *
@@ -291,24 +313,21 @@
      * @param task         what to do
      */
     private void every(long periodMillis, Runnable task) {
-        timer.scheduleWithFixedDelay(
-                () -> {
-                    try {
-                        task.run();
-                    } catch (RuntimeException exception) {
-                        Event.of("task-failed").with("reason", exception).warn(LOGGER);
-                    }
-                },
-                periodMillis,
-                periodMillis,
-                TimeUnit.MILLISECONDS);
+        Runnable guarded = () -> {
+            try {
+                task.run();
+            } catch (RuntimeException exception) {
+                Event.of("task-failed").with("reason", exception).warn(LOGGER);
+            }
+        };
+        timer.scheduleWithFixedDelay(guarded, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
     }
 
     /**
      * Shuts down gracefully.
      */
     public void drain() {
-        new Drain(settings, clocks, active, control, callers).run();
+        new Drain(settings, clocks, active, mailbox, callers).run();
     }
 
     /**
@@ -335,7 +354,7 @@
      * @return the snapshot
      */
     public Snapshot snapshot() {
-        return snapshot.get();
+        return latest.get();
     }
 
     @Override
--- a/server/src/main/java/org/ragwortpitch/server/DaemonSettings.java
+++ b/server/src/main/java/org/ragwortpitch/server/DaemonSettings.java
@@ -96,7 +96,7 @@
                 place.peerAddress().isEmpty() ? boundPeerAddress : place.peerAddress());
         DutyPlanner planner =
                 new DutyPlanner(usage.usageWindowMillis(), usage.usageGraceMillis(), lease.checkpointRecords());
-        return new ControlSettings(identity, lease.timing(), planner, lease.freshMillis());
+        return new ControlSettings(identity, lease.timing(), planner, lease.freshMillis(), lease.logOutageKeys());
     }
 
     /**
--- a/server/src/main/java/org/ragwortpitch/server/Drain.java
+++ b/server/src/main/java/org/ragwortpitch/server/Drain.java
@@ -3,7 +3,7 @@
 import java.lang.System.Logger;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.apache.pekko.actor.typed.ActorRef;
+import java.util.function.Consumer;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.ragwortpitch.control.BeginLeaving;
 import org.ragwortpitch.control.Clocks;
@@ -17,14 +17,14 @@
  * @param settings the settings
  * @param clocks   the clocks
  * @param active   the calls under way
- * @param control  the control thread
+ * @param control  sends messages to the control thread
  * @param callers  the binding for callers
  */
 record Drain(
         DaemonSettings settings,
         Clocks clocks,
         ActiveCalls active,
-        ActorRef<ControlMessage> control,
+        Consumer<ControlMessage> control,
         ServerBinding callers) {
 
     /**
@@ -64,7 +64,7 @@
      */
     private void tellAndWait(boolean last) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
-        control.tell(new BeginLeaving(last, done));
+        control.accept(new BeginLeaving(last, done));
         done.completeOnTimeout(false, settings.place().platformTimeoutMillis(), TimeUnit.MILLISECONDS)
                 .join();
     }
--- a/server/src/main/java/org/ragwortpitch/server/LeaseSettings.java
+++ b/server/src/main/java/org/ragwortpitch/server/LeaseSettings.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.server;
 
 import org.kohsuke.args4j.Option;
+import org.ragwortpitch.control.OutageKeys;
 import org.ragwortpitch.membership.InvalidLeaseTimingException;
 import org.ragwortpitch.membership.LeaseTiming;
 import org.ragwortpitch.settings.InvalidSettingException;
@@ -46,6 +47,23 @@
     @Option(name = "--checkpoint-records", usage = "after how many records of the log the state is restated")
     private long checkpointRecords = 10_000;
 
+    /**
+     * What becomes of keyed routes while the log is not reached.
+     */
+    @Option(
+            name = "--log-outage-keys",
+            usage = "keyed routes while the log is not reached: REFUSE, AGREED (all members agree) or SERVE")
+    private OutageKeys logOutageKeys = OutageKeys.AGREED;
+
+    /**
+     * Tells what becomes of keyed routes while the log is not reached.
+     *
+     * @return the choice
+     */
+    OutageKeys logOutageKeys() {
+        return logOutageKeys;
+    }
+
     /**
      * Checks the settings against each other and their bounds.
      *
--- a/server/src/main/java/org/ragwortpitch/server/SnapshotFollower.java
+++ b/server/src/main/java/org/ragwortpitch/server/SnapshotFollower.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.ragwortpitch.admission.AdmissionControl;
 import org.ragwortpitch.configuration.AccountRule;
@@ -16,12 +15,12 @@
  * Keeps the last snapshot of control state and brings it to the parts that act by it. Whoever reads a snapshot reads
  * one that all parts have taken.
  */
-final class SnapshotFollower implements Consumer<Snapshot>, Supplier<Snapshot> {
+final class SnapshotFollower implements Consumer<Snapshot> {
 
     /**
      * Control state as last published.
      */
-    private final AtomicReference<Snapshot> latest = new AtomicReference<>(Snapshot.EMPTY);
+    private final AtomicReference<Snapshot> latest;
 
     /**
      * The clocks.
@@ -51,6 +50,7 @@
     /**
      * Makes a follower that has seen nothing.
      *
+     * @param latest     where snapshots are kept
      * @param clocks     the clocks
      * @param admission  admits requests
      * @param dispatcher gives requests endpoints
@@ -58,11 +58,13 @@
      * @param metrics    the metrics
      */
     SnapshotFollower(
+            AtomicReference<Snapshot> latest,
             Clocks clocks,
             AdmissionControl admission,
             Dispatcher dispatcher,
             ActiveCalls active,
             ServerMetrics metrics) {
+        this.latest = latest;
         this.clocks = clocks;
         this.admission = admission;
         this.dispatcher = dispatcher;
@@ -70,11 +72,6 @@
         this.metrics = metrics;
     }
 
-    @Override
-    public Snapshot get() {
-        return latest.get();
-    }
-
     @Override
     public void accept(Snapshot next) {
         Snapshot last = latest.get();
--- /dev/null
+++ b/wire/src/main/java/org/ragwortpitch/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls between daemons: protobuf frames over TCP, each authenticated by a shared secret.
+ */
+package org.ragwortpitch.wire;
