Test histories, folds, rules and queues; keep shares to one incarnation

A daemon whose lease had lapsed could also surrender a share that another home had held in between. Change: shares end with their incarnation, and are surrendered only under a held lease. A surrender that comes before the heir knows itself is kept; what a home awaits is the offset at which members last changed, not how far it has read. A member that leaves hands its homes over before it departs.

--- a/policy/src/main/java/org/ragwortpitch/journal/ControlFold.java
+++ b/policy/src/main/java/org/ragwortpitch/journal/ControlFold.java
@@ -215,7 +215,7 @@
         if (checkpoint.upToOffset() <= appliedOffset) {
             return false;
         }
-        membership.restore(checkpoint.members(), checkpoint.tombstones());
+        membership.restore(checkpoint.members(), checkpoint.tombstones(), checkpoint.upToOffset());
         duties.restore(checkpoint.duties());
         configuration.restore(checkpoint.configurationVersion(), checkpoint.ruleLines());
         orders.restore(checkpoint.openOrders());
--- a/policy/src/main/java/org/ragwortpitch/limit/LimitView.java
+++ b/policy/src/main/java/org/ragwortpitch/limit/LimitView.java
@@ -11,11 +11,17 @@
  * @param self           this daemon's incarnation
  * @param members        the members
  * @param accounts       the accounts' rules
+ * @param changedOffset  where members or rules last changed
  * @param appliedOffset  how far the log was applied
  * @param leaseEndMillis when this daemon's lease ends, of the monotonic clock
  */
 public record LimitView(
-        Incarnation self, List<Member> members, List<AccountRule> accounts, long appliedOffset, long leaseEndMillis) {
+        Incarnation self,
+        List<Member> members,
+        List<AccountRule> accounts,
+        long changedOffset,
+        long appliedOffset,
+        long leaseEndMillis) {
 
     /**
      * Copies the lists.
--- a/policy/src/main/java/org/ragwortpitch/limit/Limits.java
+++ b/policy/src/main/java/org/ragwortpitch/limit/Limits.java
@@ -47,6 +47,11 @@
      */
     private final Map<AccountId, Long> startsMillis = new HashMap<>();
 
+    /**
+     * The surrenders that came before this daemon knew itself to be the heir.
+     */
+    private final Map<AccountId, Surrender> earlySurrenders = new HashMap<>();
+
     /**
      * The homes of each account.
      */
@@ -74,21 +79,27 @@
     }
 
     /**
-     * Takes a newer view. Shares that this daemon is no longer a home of end at once.
+     * Takes a newer view. Shares that this daemon is no longer a home of end at once, and all of them do when it has
+     * joined anew.
      *
      * @param next      the view
      * @param nowMillis the present time
      * @return the shares that ended and what they held, to be surrendered to the new home
      */
     public List<Surrender> update(LimitView next, long nowMillis) {
-        Set<Incarnation> nextRoster = new HashSet<>();
-        next.members().forEach(member -> nextRoster.add(member.incarnation()));
+        Set<Incarnation> nextRoster = rosterOf(next.members());
         boolean moved =
                 !nextRoster.equals(roster) || view == null || !view.self().equals(next.self());
         if (moved) {
             roster = nextRoster;
             homes.clear();
         }
+        if (view != null && !view.self().equals(next.self())) {
+            shares.clear();
+            awaitedOffsets.clear();
+            startsMillis.clear();
+            earlySurrenders.clear();
+        }
         boolean accountsChanged = view == null || !view.accounts().equals(next.accounts());
         view = next;
         List<Surrender> surrendered = new ArrayList<>();
@@ -101,7 +112,26 @@
     }
 
     /**
-     * Ends the shares that this daemon is no longer a home of.
+     * Lists who can be a home: the members that stay, or all if none does.
+     *
+     * @param members the members
+     * @return their incarnations
+     */
+    private static Set<Incarnation> rosterOf(List<Member> members) {
+        Set<Incarnation> staying = new HashSet<>();
+        Set<Incarnation> all = new HashSet<>();
+        for (Member member : members) {
+            all.add(member.incarnation());
+            if (!member.leaving()) {
+                staying.add(member.incarnation());
+            }
+        }
+        return staying.isEmpty() ? all : staying;
+    }
+
+    /**
+     * Ends the shares that this daemon is no longer a home of. They are surrendered only under a held lease: otherwise
+     * another home may have come and gone in between.
      *
      * @param surrendered where to put what they held
      * @param nowMillis   the present time
@@ -113,7 +143,8 @@
             AccountId account = entry.getKey();
             List<Incarnation> now = known.contains(account) ? homesOf(account) : List.of();
             boolean ends = !now.contains(view.self());
-            if (ends && !now.isEmpty()) {
+            boolean believed = nowMillis < view.leaseEndMillis();
+            if (ends && believed && !now.isEmpty()) {
                 HomeShare share = entry.getValue();
                 Allowance level = new Allowance(share.levelTokens(nowMillis), share.levelRequests(nowMillis));
                 Allowance lent = share.lent(nowMillis);
@@ -139,7 +170,11 @@
         }
         HomeShare share = shares.get(rule.id());
         if (share == null) {
-            awaitedOffsets.putIfAbsent(rule.id(), view.appliedOffset());
+            awaitedOffsets.putIfAbsent(rule.id(), view.changedOffset());
+            Surrender early = earlySurrenders.remove(rule.id());
+            if (early != null) {
+                inherit(early, nowMillis);
+            }
         } else if (!share.rule().equals(rule)) {
             shares.put(rule.id(), changed(share, rule, nowMillis));
         }
@@ -205,8 +240,12 @@
      */
     public boolean inherit(Surrender surrender, long nowMillis) {
         Long awaited = awaitedOffsets.get(surrender.account());
-        boolean only = homeCount == 1 && surrender.heir().equals(view.self());
-        if (awaited == null || !only || surrender.appliedOffset() < awaited) {
+        if (awaited == null) {
+            earlySurrenders.put(surrender.account(), surrender);
+            return false;
+        }
+        boolean mine = surrender.heir().equals(view.self());
+        if (homeCount != 1 || !mine || surrender.appliedOffset() < awaited) {
             return false;
         }
         for (AccountRule rule : view.accounts()) {
--- a/policy/src/main/java/org/ragwortpitch/membership/MembershipFold.java
+++ b/policy/src/main/java/org/ragwortpitch/membership/MembershipFold.java
@@ -41,6 +41,11 @@
      */
     private final Set<Incarnation> departed = new HashSet<>();
 
+    /**
+     * The offset of the last change of who is a member or leaving.
+     */
+    private long changedOffset = -1;
+
     /**
      * Takes a join.
      *
@@ -69,6 +74,7 @@
                 record.sequence(),
                 false);
         members.put(record.writer(), member);
+        changedOffset = record.offset();
         return Verdict.ACCEPTED;
     }
 
@@ -113,6 +119,10 @@
      * @return the verdict
      */
     public Verdict renewed(LogRecord record, MemberRenewed renewal) {
+        Member before = members.get(record.writer());
+        if (before != null && renewal.leaving() && !before.leaving()) {
+            changedOffset = record.offset();
+        }
         members.computeIfPresent(
                 record.writer(),
                 (id, member) -> member.withRenewal(record.offset(), renewal.appliedOffset(), renewal.leaving()));
@@ -165,6 +175,15 @@
         return List.copyOf(members.values());
     }
 
+    /**
+     * Tells where it last changed who is a member or leaving.
+     *
+     * @return the offset; -1 before the first member
+     */
+    public long changedOffset() {
+        return changedOffset;
+    }
+
     /**
      * Tells the incarnations that departed lately.
      *
@@ -179,8 +198,10 @@
      *
      * @param restoredMembers    the members
      * @param restoredTombstones the tombstones, oldest first
+     * @param upToOffset         the last offset that the state includes
      */
-    public void restore(Collection<Member> restoredMembers, Collection<Tombstone> restoredTombstones) {
+    public void restore(Collection<Member> restoredMembers, Collection<Tombstone> restoredTombstones, long upToOffset) {
+        changedOffset = upToOffset;
         members.clear();
         tombstones.clear();
         departed.clear();
@@ -196,6 +217,7 @@
      */
     private void depart(Incarnation incarnation, long offset) {
         members.remove(incarnation);
+        changedOffset = offset;
         remember(new Tombstone(incarnation, offset));
     }
 
--- /dev/null
+++ b/policy/src/test/java/org/ragwortpitch/journal/ControlFoldTest.java
@@ -0,0 +1,249 @@
+package org.ragwortpitch.journal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+import org.ragwortpitch.configuration.EndpointRole;
+import org.ragwortpitch.configuration.Supply;
+import org.ragwortpitch.duty.Duties;
+import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.DutyId;
+import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.identity.Incarnation;
+import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.identity.OperationId;
+import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.RequestId;
+import org.ragwortpitch.operation.OperationOutcome;
+import org.ragwortpitch.operation.OperationOutcomeKind;
+import org.ragwortpitch.order.OrderOutcome;
+import org.ragwortpitch.order.RoleOrder;
+import org.ragwortpitch.order.StartOrder;
+import org.ragwortpitch.usage.UsageEntry;
+
+/**
+ * Tests the fold of the whole log.
+ */
+class ControlFoldTest {
+
+    private static final DutyId FLEET = Duties.fleet(new PoolId("p"));
+
+    private static final EndpointId ENDPOINT = new EndpointId("e");
+
+    private final ControlFold fold = new ControlFold();
+
+    private long offset;
+
+    private long sequence;
+
+    private Verdict append(String writer, LogEntry entry) {
+        return fold.apply(new LogRecord(offset++, new Incarnation(writer), ++sequence, entry));
+    }
+
+    private void join(String writer, String instance) {
+        assertEquals(Verdict.ACCEPTED, append(writer, joined(instance, "peer-" + writer)));
+    }
+
+    private MemberJoined joined(String instance, String peerAddress) {
+        return new MemberJoined(new InstanceId(instance), new FailureDomain("f"), "c", peerAddress, offset);
+    }
+
+    private long claim(String writer, DutyId duty) {
+        assertEquals(Verdict.ACCEPTED, append(writer, new DutyClaimed(duty)));
+        return offset - 1;
+    }
+
+    private Verdict orderRole(String writer, long term, EndpointRole role, boolean checksFencing) {
+        return append(writer, new OrderIntended(FLEET, term, new RoleOrder(ENDPOINT, role, checksFencing)));
+    }
+
+    private void evict(String writer, String target) {
+        long renewed =
+                fold.membership().find(new Incarnation(target)).orElseThrow().renewedOffset();
+        assertEquals(Verdict.ACCEPTED, append(writer, new MemberGone(new Incarnation(target), renewed)));
+    }
+
+    @Test
+    void testRecordOfUnknownWriterIsVoid() {
+        assertEquals(Verdict.NOT_A_MEMBER, append("a", new DutyClaimed(Duties.USAGE)));
+    }
+
+    @Test
+    void testRepeatedRecordIsVoid() {
+        join("a", "i");
+        LogRecord change = new LogRecord(
+                offset++, new Incarnation("a"), 7, new ConfigurationChanged(-1, List.of(), List.of("x y # z"), "o"));
+        assertEquals(Verdict.ACCEPTED, fold.apply(change));
+        LogRecord again = new LogRecord(offset++, change.writer(), 7, change.entry());
+        assertEquals(Verdict.DUPLICATE, fold.apply(again));
+    }
+
+    @Test
+    void testLateJoinOfDepartedIncarnationIsVoid() {
+        join("a", "i");
+        join("b", "j");
+        evict("b", "a");
+        assertEquals(Verdict.DUPLICATE, append("a", joined("i", "peer-a")));
+    }
+
+    @Test
+    void testGoneIsVoidAfterRenewal() {
+        join("a", "i");
+        join("b", "j");
+        long seen = fold.membership().find(new Incarnation("a")).orElseThrow().renewedOffset();
+        append("a", new MemberRenewed(offset, false));
+        assertEquals(Verdict.STALE, append("b", new MemberGone(new Incarnation("a"), seen)));
+    }
+
+    @Test
+    void testProcessAtTheSameAddressReplacesItsPredecessor() {
+        append("a", joined("i", "peer"));
+        claim("a", Duties.USAGE);
+        append("b", joined("i", "peer"));
+        assertTrue(fold.membership().find(new Incarnation("a")).isEmpty());
+        assertTrue(fold.duties().find(Duties.USAGE).isEmpty());
+    }
+
+    @Test
+    void testRacingOperatorIsRefused() {
+        join("a", "i");
+        join("b", "j");
+        ConfigurationChanged change = new ConfigurationChanged(-1, List.of(), List.of("failure-domain x # o"), "o");
+        assertEquals(Verdict.ACCEPTED, append("a", change));
+        assertEquals(Verdict.STALE, append("b", change));
+        assertEquals(List.of("failure-domain x # o"), fold.configuration().lines());
+    }
+
+    @Test
+    void testOrderUnderLostDutyIsVoid() {
+        join("a", "i");
+        join("b", "j");
+        long old = claim("a", FLEET);
+        evict("b", "a");
+        long term = claim("b", FLEET);
+        assertEquals(Verdict.NOT_A_MEMBER, orderRole("a", old, EndpointRole.DECODE, true));
+        assertEquals(Verdict.STALE, orderRole("b", old, EndpointRole.DECODE, true));
+        assertEquals(Verdict.ACCEPTED, orderRole("b", term, EndpointRole.DECODE, true));
+    }
+
+    @Test
+    void testHolderPausedBeforeItsWriteIsFencedWhereEndpointsCheck() {
+        join("a", "i");
+        join("b", "j");
+        long old = claim("a", FLEET);
+        orderRole("a", old, EndpointRole.DECODE, true);
+        evict("b", "a");
+        long term = claim("b", FLEET);
+        assertEquals(Verdict.ACCEPTED, orderRole("b", term, EndpointRole.PREFILL, true));
+        assertEquals(1, fold.orders().openOrders().size());
+    }
+
+    @Test
+    void testHolderPausedBeforeItsWriteBlocksOtherOrdersWhereEndpointsDoNotCheck() {
+        join("a", "i");
+        join("b", "j");
+        long old = claim("a", FLEET);
+        orderRole("a", old, EndpointRole.DECODE, false);
+        long intent = offset - 1;
+        evict("b", "a");
+        long term = claim("b", FLEET);
+        assertEquals(Verdict.STALE, orderRole("b", term, EndpointRole.PREFILL, false));
+        assertEquals(Verdict.ACCEPTED, orderRole("b", term, EndpointRole.DECODE, false));
+        append("b", new OrderClosed(offset - 1, OrderOutcome.ACKNOWLEDGED));
+        assertEquals(Verdict.STALE, orderRole("b", term, EndpointRole.PREFILL, false));
+        assertEquals(Verdict.STALE, append("b", new OrderClosed(intent, OrderOutcome.NEVER_WRITTEN)));
+        join("a2", "i");
+        assertEquals(Verdict.ACCEPTED, append("a2", new OrderClosed(intent, OrderOutcome.NEVER_WRITTEN)));
+        assertEquals(Verdict.ACCEPTED, orderRole("b", term, EndpointRole.PREFILL, false));
+    }
+
+    @Test
+    void testSecondStartOfOperationIsVoidEverywhere() {
+        join("a", "i");
+        join("b", "j");
+        OperationStarted start = new OperationStarted(new AccountId("x"), new OperationId("o"), 1_000);
+        assertEquals(Verdict.ACCEPTED, append("a", start));
+        assertEquals(Verdict.STALE, append("b", start));
+        OperationEnded notRun = new OperationEnded(start.account(), start.operation(), OperationOutcome.NOT_RUN);
+        assertEquals(Verdict.STALE, append("b", notRun));
+        assertEquals(Verdict.ACCEPTED, append("a", notRun));
+        assertEquals(Verdict.ACCEPTED, append("b", start));
+    }
+
+    @Test
+    void testWindowIsClosedAndReportedUnderTheCurrentTermOnly() {
+        join("a", "i");
+        join("b", "j");
+        long old = claim("a", Duties.USAGE);
+        append("a", new UsageRecorded(List.of(usage("r", 60_000))));
+        evict("b", "a");
+        long term = claim("b", Duties.USAGE);
+        assertEquals(Verdict.STALE, append("b", new WindowClosed(60_000, old)));
+        assertEquals(Verdict.ACCEPTED, append("b", new WindowClosed(60_000, term)));
+        assertEquals(Verdict.STALE, append("b", new WindowReported(60_000, old)));
+        assertEquals(Verdict.ACCEPTED, append("b", new WindowReported(60_000, term)));
+        assertEquals(Verdict.STALE, append("b", new WindowReported(60_000, term)));
+    }
+
+    private static UsageEntry usage(String request, long window) {
+        return new UsageEntry(new AccountId("x"), new RequestId(request), "m", window, 10, 0, 5);
+    }
+
+    /**
+     * Any reader of the same prefix holds the same state: one that read all, and one that began at a checkpoint.
+     */
+    @Property(tries = 300, seed = "12", shrinking = ShrinkingMode.OFF)
+    void readersAgreeWhereverTheyBegin(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<LogRecord> log = new ArrayList<>();
+        for (int index = 0; index < 300; index++) {
+            Incarnation writer = new Incarnation("w" + random.nextInt(4) + "-" + random.nextInt(2));
+            log.add(new LogRecord(index, writer, random.nextInt(1 + index), randomEntry(random, index)));
+        }
+        int cut = random.nextInt(log.size());
+        ControlFold whole = new ControlFold();
+        ControlFold late = new ControlFold();
+        for (LogRecord record : log) {
+            whole.apply(record);
+            if (record.offset() == cut) {
+                assertTrue(late.restore(whole.checkpoint()));
+                assertFalse(late.restore(whole.checkpoint()));
+            } else if (record.offset() > cut) {
+                late.apply(record);
+            }
+        }
+        assertEquals(whole.checkpoint(), late.checkpoint());
+    }
+
+    private static LogEntry randomEntry(SplittableRandom random, long index) {
+        String name = "n" + random.nextInt(3);
+        long past = random.nextLong(index + 1);
+        return switch (random.nextInt(13)) {
+            case 0, 1 -> new MemberJoined(new InstanceId(name), new FailureDomain("f"), "c", "p" + index, index);
+            case 2 -> new MemberRenewed(past, random.nextBoolean());
+            case 3 -> new MemberLeft();
+            case 4 -> new MemberGone(new Incarnation("w" + random.nextInt(4) + "-0"), past);
+            case 5 -> new DutyClaimed(random.nextBoolean() ? Duties.USAGE : FLEET);
+            case 6 -> new ConfigurationChanged(past - 1, List.of(), List.of("pool " + name + " # o"), "o");
+            case 7 -> new OperationStarted(new AccountId("x"), new OperationId(name), index * 200_000);
+            case 8 -> new OperationEnded(
+                    new AccountId("x"),
+                    new OperationId(name),
+                    new OperationOutcome(OperationOutcomeKind.ANSWERED, 200, "t", "b"));
+            case 9 -> new UsageRecorded(List.of(usage("r" + random.nextInt(40), index * 10_000)));
+            case 10 -> new WindowClosed(index * 10_000, past);
+            case 11 -> new OrderIntended(
+                    FLEET, past, new StartOrder(new PoolId("p"), new FailureDomain("f"), Supply.CHEAP));
+            default -> new DutyReleased(Duties.USAGE, past);
+        };
+    }
+}
--- /dev/null
+++ b/scenarios/src/test/java/org/ragwortpitch/scenarios/ScenariosTest.java
@@ -0,0 +1,17 @@
+package org.ragwortpitch.scenarios;
+
+import org.junit.platform.suite.api.ConfigurationParameter;
+import org.junit.platform.suite.api.IncludeEngines;
+import org.junit.platform.suite.api.SelectClasspathResource;
+import org.junit.platform.suite.api.Suite;
+
+/**
+ * Runs the scenarios.
+ */
+@Suite
+@IncludeEngines("cucumber")
+@SelectClasspathResource("scenarios")
+@ConfigurationParameter(key = "cucumber.glue", value = "org.ragwortpitch.scenarios")
+@ConfigurationParameter(key = "cucumber.plugin", value = "summary")
+@ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
+class ScenariosTest {}
--- a/server/src/main/java/org/ragwortpitch/admission/AdmissionControl.java
+++ b/server/src/main/java/org/ragwortpitch/admission/AdmissionControl.java
@@ -29,13 +29,13 @@
     /**
      * How long a borrower may spend a loan, in milliseconds of its own clock since it asked.
      */
-    public static final long BORROW_MILLIS = 400;
+    public static final long BORROW_MILLIS = 1_000;
 
     /**
      * How long a lender takes a loan to be spendable, in milliseconds of its own clock since it lent. It exceeds what a
      * borrower may use by far more than clocks drift.
      */
-    public static final long LOAN_MILLIS = 500;
+    public static final long LOAN_MILLIS = 1_250;
 
     /**
      * When to try again while a share is not ready, in milliseconds.
@@ -85,6 +85,7 @@
                 snapshot.self(),
                 snapshot.members(),
                 snapshot.configuration().accounts(),
+                snapshot.changedOffset(),
                 snapshot.appliedOffset(),
                 snapshot.isMember() ? snapshot.limitEndMillis() : Long.MIN_VALUE);
         List<Surrender> surrendered;
--- a/server/src/main/java/org/ragwortpitch/control/ControlCore.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlCore.java
@@ -96,6 +96,11 @@
      */
     private long contactMillis = Long.MIN_VALUE;
 
+    /**
+     * Where members had last changed when that was followed up.
+     */
+    private long followedOffset = -1;
+
     /**
      * Whether a read is under way.
      */
@@ -210,7 +215,9 @@
     private void applied(long nowMillis) {
         watch.observe(fold.members(), nowMillis);
         peers.retainMembers();
-        if (rules.refresh()) {
+        boolean moved = fold.membership().changedOffset() != followedOffset;
+        followedOffset = fold.membership().changedOffset();
+        if (rules.refresh() || moved) {
             session.renewSoon();
         }
     }
@@ -326,6 +333,7 @@
                 rules.version(),
                 fold.members(),
                 fold.duties().terms(),
+                Math.max(fold.membership().changedOffset(), fold.configuration().version()),
                 fold.appliedOffset(),
                 session.leaseEndMillis(),
                 Math.max(session.leaseEndMillis(), peers.promisedMillis()),
--- a/server/src/main/java/org/ragwortpitch/control/Snapshot.java
+++ b/server/src/main/java/org/ragwortpitch/control/Snapshot.java
@@ -16,6 +16,7 @@
  * @param configurationVersion their version; -1 without any
  * @param members              the members
  * @param duties               the held duties
+ * @param changedOffset        where members or rules last changed
  * @param appliedOffset        how far the log was applied
  * @param leaseEndMillis       when the membership lease ends, of the monotonic clock
  * @param limitEndMillis       when this daemon must stop to spend its shares of limits, of the monotonic clock
@@ -29,6 +30,7 @@
         long configurationVersion,
         List<Member> members,
         List<DutyTerm> duties,
+        long changedOffset,
         long appliedOffset,
         long leaseEndMillis,
         long limitEndMillis,
@@ -54,6 +56,7 @@
             List.of(),
             List.of(),
             -1,
+            -1,
             Long.MIN_VALUE,
             Long.MIN_VALUE,
             Long.MIN_VALUE);
--- a/server/src/main/java/org/ragwortpitch/peering/PeerNetwork.java
+++ b/server/src/main/java/org/ragwortpitch/peering/PeerNetwork.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.ragwortpitch.admission.AdmissionControl;
 import org.ragwortpitch.admission.Lenders;
 import org.ragwortpitch.control.Clocks;
 import org.ragwortpitch.control.ControlMessage;
@@ -157,7 +158,7 @@
             return CompletableFuture.failedFuture(new PeerException("the home " + home + " is no member"));
         }
         return transport
-                .call(lender.get().peerAddress(), Frames.loanRequest(account, id, wish), CALL_MILLIS)
+                .call(lender.get().peerAddress(), Frames.loanRequest(account, id, wish), AdmissionControl.BORROW_MILLIS)
                 .thenApply(answer -> Frames.admission(answer.getLoanReply()));
     }
 
--- a/wire/src/main/java/org/ragwortpitch/wire/PeerConnection.java
+++ b/wire/src/main/java/org/ragwortpitch/wire/PeerConnection.java
@@ -28,6 +28,11 @@
      */
     private final CompletableFuture<Session> session = new CompletableFuture<>();
 
+    /**
+     * The session as it was made.
+     */
+    private final Session opened;
+
     /**
      * The channel.
      */
@@ -44,6 +49,7 @@
     PeerConnection(Bootstrap bootstrap, Session opened, CallTable calls, String address) {
         this.address = address;
         this.calls = calls;
+        this.opened = opened;
         int colon = address.lastIndexOf(':');
         ChannelFuture connecting =
                 bootstrap.connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
@@ -71,6 +77,7 @@
     CompletableFuture<Frame> call(Frame body, long timeoutMillis) {
         CompletableFuture<Frame> answer = new CompletableFuture<>();
         long call = calls.begin(answer);
+        long calledNanos = System.nanoTime();
         session.whenComplete((open, failure) -> {
             if (failure != null) {
                 answer.completeExceptionally(failure);
@@ -82,14 +89,16 @@
             calls.fail(address);
         }
         return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS).whenComplete((frame, failure) -> {
-            if (failure instanceof TimeoutException && awaitsAnswer(body)) {
+            boolean silent = opened.receivedNanos() - calledNanos < 0;
+            if (failure instanceof TimeoutException && awaitsAnswer(body) && silent) {
                 channel.close();
             }
         });
     }
 
     /**
-     * Tells whether a call gets an answer. One that stays away then shows that the connection leads nowhere.
+     * Tells whether a call gets an answer. If it stays away and nothing else comes either,
+     * the connection leads nowhere.
      *
      * @param body the call's body
      * @return whether it gets one
--- a/wire/src/main/java/org/ragwortpitch/wire/Session.java
+++ b/wire/src/main/java/org/ragwortpitch/wire/Session.java
@@ -74,6 +74,11 @@
      */
     private byte[] receiveKey;
 
+    /**
+     * When the last frame was received, in nanoseconds.
+     */
+    private volatile long receivedNanos = System.nanoTime();
+
     /**
      * How many frames were sent.
      */
@@ -154,6 +159,7 @@
             return;
         }
         received++;
+        receivedNanos = System.nanoTime();
         try {
             receiver.accept(this, Frame.parseFrom(frame));
         } catch (InvalidProtocolBufferException exception) {
@@ -161,6 +167,15 @@
         }
     }
 
+    /**
+     * Tells when the last frame was received.
+     *
+     * @return the time, in nanoseconds
+     */
+    long receivedNanos() {
+        return receivedNanos;
+    }
+
     /**
      * Sends a frame, from any thread.
      *
