--- a/scenarios/src/test/java/org/ragwortpitch/scenarios/FaultSteps.java
+++ b/scenarios/src/test/java/org/ragwortpitch/scenarios/FaultSteps.java
@@ -70,7 +70,7 @@
     public void everyLeaseHasRunOut() {
         Await.until("all leases running out", 20_000, () -> world.deployment()
                 .alive()
-                .allMatch(daemon -> deployment
+                .allMatch(daemon -> world.deployment()
                         .get(daemon.operatorPort(), "/metrics")
                         .body()
                         .contains("ragwortpitch_control{value=\"lease_remaining_ms\"} 0.0")));
