Catch requests that crash endpoints; free connections whose answer was lost

Cause: (1) nothing kept a request that crashes endpoints from crashing them all. (2) In the scenario with 200 of 1000 append answers lost a change of rules was not accepted within 10 s: each lost answer held one of four pooled connections for a minute, until no call of the platform could be sent. Ruled out: the writer (it settles a lost answer by reading). Change: suspects are counted, told to all members and kept apart; connections to the platform go after twice its time limit. Endpoints that refuse are tried again without counting as a run. A crashing request: 422 on all 3 daemons within 500 ms, 6 of 6 neighbours whole.

--- a/client/src/main/java/org/ragwortpitch/client/DaemonCalls.java
+++ b/client/src/main/java/org/ragwortpitch/client/DaemonCalls.java
@@ -56,7 +56,7 @@
      * @param token   the operators' token
      */
     DaemonCalls(ActorSystem system, String address, String token) {
-        this.client = new JsonClient(system);
+        this.client = new JsonClient(system, 2 * TIMEOUT_MILLIS);
         this.baseUri = "http://" + address;
         this.token = token;
     }
--- /dev/null
+++ b/measure/src/main/java/org/ragwortpitch/measure/MemoryMeasurement.java
@@ -0,0 +1,200 @@
+package org.ragwortpitch.measure;
+
+import java.io.PrintStream;
+import java.util.function.IntFunction;
+import org.ragwortpitch.configuration.Configuration;
+import org.ragwortpitch.configuration.InvalidRulesException;
+import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.Incarnation;
+import org.ragwortpitch.identity.OperationId;
+import org.ragwortpitch.identity.RequestId;
+import org.ragwortpitch.journal.LogRecord;
+import org.ragwortpitch.journal.OperationStarted;
+import org.ragwortpitch.journal.UsageRecorded;
+import org.ragwortpitch.limit.Bucket;
+import org.ragwortpitch.operation.OperationFold;
+import org.ragwortpitch.routing.PieceIndex;
+import org.ragwortpitch.usage.UsageEntry;
+import org.ragwortpitch.usage.UsageFold;
+
+/**
+ * Measures the memory of state as a slope between two sizes, by the heap in use after collection.
+ */
+final class MemoryMeasurement implements Measurement {
+
+    /**
+     * The smaller size.
+     */
+    private static final int SMALL = 2_000;
+
+    /**
+     * The larger size.
+     */
+    private static final int LARGE = 22_000;
+
+    @Override
+    public void run(Arguments arguments, PrintStream table) {
+        table.println("what,bytes_each,microseconds_each_to_build");
+        row(table, "account rule with key", MemoryMeasurement::accounts);
+        row(table, "endpoint rule", MemoryMeasurement::endpoints);
+        row(table, "token bucket", MemoryMeasurement::buckets);
+        row(table, "counted request", MemoryMeasurement::counted);
+        row(table, "remembered operation", MemoryMeasurement::operations);
+        row(table, "cached piece", MemoryMeasurement::pieces);
+    }
+
+    /**
+     * Prints the slope of a kind of state.
+     *
+     * @param table takes the row
+     * @param name  the kind
+     * @param state makes the state of a size
+     */
+    private static void row(PrintStream table, String name, IntFunction<Object> state) {
+        state.apply(SMALL);
+        long small = bytes(state, SMALL);
+        long startNanos = System.nanoTime();
+        long large = bytes(state, LARGE);
+        double micros = (System.nanoTime() - startNanos) / 1e3 / LARGE;
+        table.printf("%s,%d,%.2f%n", name, (large - small) / (LARGE - SMALL), micros);
+    }
+
+    /**
+     * Measures the state of a size.
+     *
+     * @param state makes the state
+     * @param size  the size
+     * @return its bytes
+     */
+    private static long bytes(IntFunction<Object> state, int size) {
+        long before = used();
+        Object held = state.apply(size);
+        long after = used();
+        if (held == null) {
+            throw new IllegalStateException("nothing was made");
+        }
+        return after - before;
+    }
+
+    /**
+     * Tells the heap in use.
+     *
+     * @return the bytes
+     */
+    private static long used() {
+        for (int round = 0; round < 4; round++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /**
+     * Makes accounts with keys.
+     *
+     * @param size how many
+     * @return the configuration
+     */
+    private static Object accounts(int size) {
+        StringBuilder rules = new StringBuilder();
+        for (int index = 0; index < size; index++) {
+            rules.append("account account-").append(index);
+            rules.append(" tokens-per-second=1000 burst-tokens=9000 requests-per-second=9 burst-requests=90 # Ana\n");
+            rules.append("key key-").append(index).append(" account=account-").append(index);
+            rules.append(" sha256=").append(String.format("%064x", index)).append(" # Ana\n");
+        }
+        return parse(rules.toString());
+    }
+
+    /**
+     * Makes endpoints.
+     *
+     * @param size how many
+     * @return the configuration
+     */
+    private static Object endpoints(int size) {
+        StringBuilder rules = new StringBuilder("failure-domain f # Ana\npool p serves=model # Ana\n");
+        for (int index = 0; index < size; index++) {
+            rules.append("endpoint endpoint-").append(index);
+            rules.append(" pool=p failure-domain=f address=10.0.0.1:9000 fencing=checked # Ana\n");
+        }
+        return parse(rules.toString());
+    }
+
+    /**
+     * Reads rules.
+     *
+     * @param rules the rules
+     * @return the configuration
+     */
+    private static Configuration parse(String rules) {
+        try {
+            return Configuration.parse(rules);
+        } catch (InvalidRulesException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    /**
+     * Makes buckets.
+     *
+     * @param size how many
+     * @return the buckets
+     */
+    private static Object buckets(int size) {
+        Bucket[] buckets = new Bucket[size];
+        for (int index = 0; index < size; index++) {
+            buckets[index] = new Bucket(1_000, 9_000, 1, 0);
+        }
+        return buckets;
+    }
+
+    /**
+     * Makes counted requests.
+     *
+     * @param size how many
+     * @return the fold
+     */
+    private static Object counted(int size) {
+        UsageFold fold = new UsageFold();
+        for (int index = 0; index < size; index++) {
+            RequestId request = new RequestId("01a23ee5-a5ba-7d9d-9659-" + (100_000_000L + index));
+            UsageEntry entry = new UsageEntry(new AccountId("account-" + index % 5), request, "m", 60_000, 9, 3, 1);
+            UsageRecorded recorded = new UsageRecorded(java.util.List.of(entry));
+            fold.recorded(new LogRecord(index, new Incarnation("w"), index, recorded), recorded);
+        }
+        return fold;
+    }
+
+    /**
+     * Makes remembered operations.
+     *
+     * @param size how many
+     * @return the fold
+     */
+    private static Object operations(int size) {
+        OperationFold fold = new OperationFold();
+        Incarnation writer = new Incarnation("w");
+        for (int index = 0; index < size; index++) {
+            OperationId operation = new OperationId("01a23ee5-a5ba-7d9d-9659-" + (100_000_000L + index));
+            OperationStarted start = new OperationStarted(new AccountId("account-" + index % 5), operation, index);
+            fold.started(new LogRecord(index, writer, index, start), start);
+        }
+        return fold;
+    }
+
+    /**
+     * Makes remembered pieces.
+     *
+     * @param size how many
+     * @return the index
+     */
+    private static Object pieces(int size) {
+        PieceIndex index = new PieceIndex(size);
+        for (int piece = 0; piece < size; piece++) {
+            index.stored(new EndpointId("e"), piece * 7_919L);
+        }
+        return index;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/suspect/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests that crash the endpoints that run them.
+ */
+package org.ragwortpitch.suspect;
--- a/scenarios/src/test/java/org/ragwortpitch/scenarios/Deployment.java
+++ b/scenarios/src/test/java/org/ragwortpitch/scenarios/Deployment.java
@@ -246,6 +246,17 @@
         return get(port(part), path).json();
     }
 
+    /**
+     * Counts the requests that run on engines.
+     */
+    int running() throws IOException {
+        int running = 0;
+        for (int part = 1; part <= ENGINES; part++) {
+            running += standin(part, "/v1/load").path("running").asInt();
+        }
+        return running;
+    }
+
     int port(int part) {
         return Integer.parseInt(standin.addresses().get(part).replaceAll(".*:", ""));
     }
--- a/scenarios/src/test/java/org/ragwortpitch/scenarios/FaultSteps.java
+++ b/scenarios/src/test/java/org/ragwortpitch/scenarios/FaultSteps.java
@@ -1,6 +1,14 @@
 package org.ragwortpitch.scenarios;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.ragwortpitch.standin.EngineFault;
 import org.ragwortpitch.standin.Faults;
 import org.ragwortpitch.standin.LinkFault;
@@ -10,8 +18,12 @@
  */
 public class FaultSteps {
 
+    private static final String CRASH = "please crash-this-endpoint";
+
     private final World world;
 
+    private final List<CompletableFuture<Reply>> bystanders = new ArrayList<>();
+
     public FaultSteps(World world) {
         this.world = world;
     }
@@ -75,4 +87,33 @@
                         .body()
                         .contains("ragwortpitch_control{value=\"lease_remaining_ms\"} 0.0")));
     }
+
+    @When("a request that crashes endpoints is sent through daemon {int} beside {int} others")
+    public void aCrashingRequestIsSent(int daemon, int others) {
+        Deployment deployment = world.deployment();
+        DaemonProcess through = deployment.daemon(daemon);
+        for (int other = 0; other < others; other++) {
+            bystanders.add(deployment.stream(through, "harmless " + other, 150));
+        }
+        Await.until("the others running", 10_000, () -> deployment.running() >= others);
+        Reply first = deployment.call(through, CRASH, 5);
+        assertEquals(422, first.status(), first.body());
+    }
+
+    @Then("every other caller gets the whole answer")
+    public void everyOtherCallerGetsTheWholeAnswer() throws IOException {
+        for (CompletableFuture<Reply> bystander : bystanders) {
+            Reply reply = bystander.join();
+            assertTrue(reply.status() == 200 && reply.streamed().finished(), reply.body());
+        }
+    }
+
+    @Then("within {int} ms every daemon refuses it without running it")
+    public void everyDaemonRefusesIt(int withinMillis) {
+        Deployment deployment = world.deployment();
+        Await.until("refusal everywhere", withinMillis, () -> deployment.alive().allMatch(daemon -> {
+            Reply reply = deployment.call(daemon, CRASH, 5);
+            return reply.status() == 422 && reply.body().contains("\"ran\":\"no\"");
+        }));
+    }
 }
--- a/scenarios/src/test/java/org/ragwortpitch/scenarios/Steps.java
+++ b/scenarios/src/test/java/org/ragwortpitch/scenarios/Steps.java
@@ -190,11 +190,7 @@
     @When("the streams have begun")
     public void theStreamsHaveBegun() {
         Await.until("tokens of all streams", 10_000, () -> {
-            int running = 0;
-            for (int part = 1; part <= Deployment.engines(); part++) {
-                running += deployment.standin(part, "/v1/load").path("running").asInt();
-            }
-            return running >= streams.size();
+            return deployment.running() >= streams.size();
         });
     }
 
@@ -357,11 +353,7 @@
     @Then("within {int} ms the endpoints have stopped its work")
     public void theEndpointsHaveStopped(int withinMillis) {
         Await.until("cancellation", withinMillis, () -> {
-            int running = 0;
-            for (int part = 1; part <= Deployment.engines(); part++) {
-                running += deployment.standin(part, "/v1/load").path("running").asInt();
-            }
-            return running == 0;
+            return deployment.running() == 0;
         });
     }
 
--- a/scenarios/src/test/resources/scenarios/traffic.feature
+++ b/scenarios/src/test/resources/scenarios/traffic.feature
@@ -42,3 +42,9 @@
     And a signature is sent to each daemon under one idempotency key
     Then the service has run it 1 time
     And each signature is refused as ran unknown
+
+  Scenario: A request that crashes endpoints is caught, and its neighbours are not blamed
+    Given 3 daemons in force
+    When a request that crashes endpoints is sent through daemon 1 beside 6 others
+    Then every other caller gets the whole answer
+    And within 500 ms every daemon refuses it without running it
--- a/server/src/main/java/org/ragwortpitch/control/ControlActor.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlActor.java
@@ -20,7 +20,7 @@
     /**
      * How often what is due is done, in milliseconds.
      */
-    private static final long TICK_MILLIS = 50;
+    private static final long TICK_MILLIS = 100;
 
     /**
      * The most records of one read.
@@ -117,7 +117,7 @@
         } else if (message instanceof AppendDone done) {
             core.writer().acknowledged(done.batch(), done.offset());
         } else if (message instanceof AppendFailed failed) {
-            core.appendFailed(failed, nowMillis);
+            core.writer().failed(failed, nowMillis);
         } else if (message instanceof RecordUsage usage) {
             core.writer().addUsage(usage.entry(), usage.durable());
         } else if (message instanceof StartOperation start) {
--- a/server/src/main/java/org/ragwortpitch/control/ControlCore.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlCore.java
@@ -101,6 +101,11 @@
      */
     private long followedOffset = -1;
 
+    /**
+     * What was published last.
+     */
+    private PublishedMark published;
+
     /**
      * Whether a read is under way.
      */
@@ -277,19 +282,6 @@
         readFailing = true;
     }
 
-    /**
-     * Takes the failure of a batch.
-     *
-     * @param failed    the failure
-     * @param nowMillis the present time, of the monotonic clock
-     */
-    void appendFailed(AppendFailed failed, long nowMillis) {
-        if (!writer.isFailing()) {
-            Event.of("append-unanswered").with("reason", failed.reason()).warn(LOGGER);
-        }
-        writer.failed(failed.batch(), nowMillis);
-    }
-
     /**
      * Starts an operation.
      *
@@ -320,24 +312,28 @@
     }
 
     /**
-     * Publishes a snapshot.
+     * Publishes a snapshot if anything in it has changed.
      *
      * @param nowMillis the present time, of the monotonic clock
      */
     private void publish(long nowMillis) {
-        publisher.accept(new Snapshot(
+        PublishedMark mark = new PublishedMark(
                 session.incarnation(),
                 session.isMember(),
                 session.isLeaving(),
-                rules.configuration(),
-                rules.version(),
-                fold.members(),
-                fold.duties().terms(),
-                Math.max(fold.membership().changedOffset(), fold.configuration().version()),
                 fold.appliedOffset(),
                 session.leaseEndMillis(),
                 Math.max(session.leaseEndMillis(), peers.promisedMillis()),
-                peers.vouchedMillis(contactMillis, nowMillis)));
+                peers.vouchedMillis(contactMillis, nowMillis));
+        if (mark.equals(published)) {
+            return;
+        }
+        published = mark;
+        publisher.accept(mark.toSnapshot(
+                rules,
+                fold.members(),
+                fold.duties().terms(),
+                Math.max(fold.membership().changedOffset(), fold.configuration().version())));
     }
 
     @Override
--- a/server/src/main/java/org/ragwortpitch/control/JournalWriter.java
+++ b/server/src/main/java/org/ragwortpitch/control/JournalWriter.java
@@ -1,5 +1,6 @@
 package org.ragwortpitch.control;
 
+import java.lang.System.Logger;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -13,6 +14,7 @@
 import org.ragwortpitch.journal.UsageRecorded;
 import org.ragwortpitch.journal.Verdict;
 import org.ragwortpitch.journal.codec.RecordCodec;
+import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.usage.UsageEntry;
 
 /**
@@ -22,6 +24,11 @@
  */
 final class JournalWriter {
 
+    /**
+     * Where events go.
+     */
+    private static final Logger LOGGER = System.getLogger(JournalWriter.class.getName());
+
     /**
      * The most entries of one batch.
      */
@@ -205,11 +212,14 @@
     /**
      * Takes the failure of a batch, which will be repeated.
      *
-     * @param number    the batch's number
+     * @param failed    the failure
      * @param nowMillis the present time
      */
-    void failed(long number, long nowMillis) {
-        if (number == batchNumber && !batch.isEmpty()) {
+    void failed(AppendFailed failed, long nowMillis) {
+        if (failed.batch() == batchNumber && !batch.isEmpty()) {
+            if (failures == 0) {
+                Event.of("append-unanswered").with("reason", failed.reason()).warn(LOGGER);
+            }
             failures++;
             repeatAtMillis = nowMillis + backoffMillis;
             backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
--- a/server/src/main/java/org/ragwortpitch/dispatch/DispatchRequest.java
+++ b/server/src/main/java/org/ragwortpitch/dispatch/DispatchRequest.java
@@ -16,6 +16,7 @@
  * @param priority       the priority, 0 being the most urgent
  * @param demand         what it asks of the endpoint
  * @param firmOnly       whether only endpoints that the platform will not take back may serve it
+ * @param suspect        whether it is suspected of crashing endpoints, so that no two such run beside each other
  * @param avoided        endpoints that failed it before, used only if there are no others
  * @param deadlineMillis when it is too late, of the monotonic clock
  * @param slot           gets the endpoint; fails with {@link org.ragwortpitch.answer.RefusedException}
@@ -27,6 +28,7 @@
         int priority,
         Demand demand,
         boolean firmOnly,
+        boolean suspect,
         Set<EndpointId> avoided,
         long deadlineMillis,
         CompletableFuture<Slot> slot) {
--- a/server/src/main/java/org/ragwortpitch/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/ragwortpitch/dispatch/Dispatcher.java
@@ -202,12 +202,12 @@
         EndpointState chosen =
                 chooser.choose(request.demand(), candidates(request, nowMillis)).orElseThrow();
         EndpointTracker tracker = trackers.get(chosen.id());
-        Slot slot = new Slot(this, tracker.rule(), request.demand());
-        tracker.sent(request.demand().promptTokens());
+        Slot slot = new Slot(this, tracker.rule(), request.demand(), request.suspect());
+        tracker.sent(request.demand().promptTokens(), request.suspect());
         pieces.sent(chosen.id(), request.demand().pieces());
         if (!request.slot().complete(slot)) {
             tracker.prefilled(request.demand().promptTokens());
-            tracker.released(false, nowMillis);
+            tracker.released(false, request.suspect(), nowMillis);
         }
     }
 
@@ -225,7 +225,8 @@
         for (EndpointRule rule : configuration.endpointsOf(request.pool().id())) {
             EndpointTracker tracker = trackers.get(rule.id());
             boolean avoid = request.avoided().contains(rule.id());
-            boolean allowed = !request.firmOnly() || rule.supply() == Supply.FIRM;
+            boolean allowed = (!request.firmOnly() || rule.supply() == Supply.FIRM)
+                    && !(request.suspect() && tracker.hasSuspect());
             othersExist |= allowed && !avoid;
             if (allowed && tracker.hasRoom(request.pool().concurrency(), daemons, nowMillis)) {
                 long cached = pieces.cachedTokens(rule.id(), request.demand().pieces());
@@ -253,11 +254,12 @@
      *
      * @param endpoint the endpoint
      * @param failed   whether it failed the request
+     * @param suspect  whether the request was suspected of crashing endpoints
      */
-    synchronized void release(EndpointId endpoint, boolean failed) {
+    synchronized void release(EndpointId endpoint, boolean failed, boolean suspect) {
         EndpointTracker tracker = trackers.get(endpoint);
         if (tracker != null) {
-            tracker.released(failed, clocks.nowMillis());
+            tracker.released(failed, suspect, clocks.nowMillis());
             if (failed) {
                 pieces.lost(endpoint);
             }
--- a/server/src/main/java/org/ragwortpitch/dispatch/EndpointTracker.java
+++ b/server/src/main/java/org/ragwortpitch/dispatch/EndpointTracker.java
@@ -31,6 +31,11 @@
      */
     private int ownRequests;
 
+    /**
+     * The requests among them that are suspected of crashing endpoints.
+     */
+    private int suspects;
+
     /**
      * The prompt tokens sent from here and not read yet.
      */
@@ -88,9 +93,11 @@
      * Notes that a request is sent.
      *
      * @param prefillTokens its prompt tokens that are not cached
+     * @param suspect       whether it is suspected of crashing endpoints
      */
-    void sent(long prefillTokens) {
+    void sent(long prefillTokens, boolean suspect) {
         ownRequests++;
+        suspects += suspect ? 1 : 0;
         ownPrefillTokens += prefillTokens;
     }
 
@@ -107,10 +114,12 @@
      * Notes that a request has ended.
      *
      * @param failed    whether the endpoint failed it
+     * @param suspect   whether it was suspected of crashing endpoints
      * @param nowMillis the present time, of the monotonic clock
      */
-    void released(boolean failed, long nowMillis) {
+    void released(boolean failed, boolean suspect, long nowMillis) {
         ownRequests--;
+        suspects -= suspect ? 1 : 0;
         if (failed) {
             long pauseMillis = Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failures, 10));
             pausedUntilMillis = nowMillis + pauseMillis;
@@ -155,6 +164,15 @@
         return ownRequests < floor || ownRequests + otherRequests() < concurrency;
     }
 
+    /**
+     * Tells whether a suspect is under way from here.
+     *
+     * @return whether one is
+     */
+    boolean hasSuspect() {
+        return suspects > 0;
+    }
+
     /**
      * Estimates the requests of other daemons.
      *
--- a/server/src/main/java/org/ragwortpitch/dispatch/ModelRun.java
+++ b/server/src/main/java/org/ragwortpitch/dispatch/ModelRun.java
@@ -15,6 +15,11 @@
 import org.ragwortpitch.endpoint.EngineEvent;
 import org.ragwortpitch.endpoint.EngineRequest;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.platform.PlatformException;
+import org.ragwortpitch.platform.PlatformFailure;
+import org.ragwortpitch.suspect.Fingerprint;
+import org.ragwortpitch.suspect.SuspectBook;
+import org.ragwortpitch.suspect.Suspicion;
 
 /**
  * One run of a model for one caller: attempts at endpoints, each resumed from the tokens that the caller has, until the
@@ -23,9 +28,14 @@
 public final class ModelRun {
 
     /**
-     * The most attempts.
+     * The most attempts that may have run.
      */
-    private static final int MAX_ATTEMPTS = 3;
+    private static final int MAX_RUNS = 3;
+
+    /**
+     * The most attempts, those that endpoints refused included.
+     */
+    private static final int MAX_ATTEMPTS = 10;
 
     /**
      * When a caller should try again after the last attempt failed, in milliseconds.
@@ -42,6 +52,11 @@
      */
     private final RunSpec spec;
 
+    /**
+     * Tells the request's content.
+     */
+    private final Fingerprint fingerprint;
+
     /**
      * Checks the answer.
      */
@@ -58,9 +73,14 @@
     private int attempts;
 
     /**
-     * Whether an attempt was sent to an endpoint.
+     * How many attempts failed after they may have run.
      */
-    private boolean sent;
+    private int runs;
+
+    /**
+     * Whether an attempt may have run on an endpoint.
+     */
+    private boolean reached;
 
     /**
      * Makes a run.
@@ -71,6 +91,7 @@
     public ModelRun(RunParts parts, RunSpec spec) {
         this.parts = parts;
         this.spec = spec;
+        this.fingerprint = Fingerprint.of(spec.pool().id().value(), spec.prompt());
     }
 
     /**
@@ -79,6 +100,9 @@
      * @return the tokens and the finish, each once and in order; fails with {@link RefusedException}
      */
     public Source<EngineEvent, NotUsed> events() {
+        if (parts.suspects().suspicion(fingerprint) == Suspicion.REFUSED) {
+            return Source.failed(crashes(Ran.NO));
+        }
         return attempt()
                 .recoverWithRetries(
                         MAX_ATTEMPTS,
@@ -113,6 +137,7 @@
                 spec.priority(),
                 spec.demand(),
                 false,
+                parts.suspects().suspicion(fingerprint) == Suspicion.SUSPECT,
                 failed,
                 spec.deadlineMillis(),
                 new CompletableFuture<>());
@@ -136,7 +161,6 @@
      */
     private Source<EngineEvent, NotUsed> send(AttemptId id, Slot slot, long askedNanos) {
         parts.metrics().queueWait(spec.account(), spec.requestClass(), System.nanoTime() - askedNanos);
-        sent = true;
         EngineRequest request = new EngineRequest(
                 id, spec.pool().id().value(), spec.prompt(), spec.maxOutputTokens(), spec.priority(), check.tokens());
         return parts.engines().of(slot.endpoint()).run(request).map(event -> {
@@ -164,6 +188,9 @@
         parts.dispatcher().withdraw(wish);
         wish.slot().completeExceptionally(new IllegalStateException("no longer wanted"));
         wish.slot().thenAccept(slot -> {
+            if (check.isFinished()) {
+                parts.suspects().finished(fingerprint);
+            }
             if (failure != null) {
                 failed.add(slot.endpoint().id());
             } else {
@@ -184,11 +211,18 @@
         if (cause instanceof RefusedException) {
             return Source.failed(cause);
         }
+        boolean refused = cause instanceof PlatformException platform && platform.failure() == PlatformFailure.REFUSED;
+        reached |= !refused;
+        runs += refused ? 0 : 1;
+        if (cause instanceof PlatformException platform && platform.failure() == PlatformFailure.NO_ANSWER) {
+            parts.suspects().crashed(fingerprint);
+        }
+        if (parts.suspects().suspicion(fingerprint) == Suspicion.REFUSED) {
+            return Source.failed(crashes(Ran.YES));
+        }
         boolean inTime = parts.clocks().nowMillis() < spec.deadlineMillis();
-        if (check.isFinished()
-                || attempts >= MAX_ATTEMPTS
-                || !inTime
-                || !parts.budget().tryRetry()) {
+        boolean spent = attempts >= MAX_ATTEMPTS || runs >= MAX_RUNS;
+        if (check.isFinished() || spent || !inTime || !parts.budget().tryRetry()) {
             return Source.failed(refusal(cause));
         }
         parts.metrics()
@@ -199,6 +233,21 @@
         return attempt();
     }
 
+    /**
+     * Makes the refusal of a request that crashes endpoints.
+     *
+     * @param ran whether it ran this time
+     * @return the refusal
+     */
+    private static RefusedException crashes(Ran ran) {
+        return new RefusedException(
+                ErrorKind.CRASHES_ENDPOINTS,
+                ran,
+                0,
+                "endpoints crashed while they ran a request of this content; it is not run again for "
+                        + SuspectBook.KEPT_MILLIS / 60_000 + " minutes: change it");
+    }
+
     /**
      * Makes the refusal after the last attempt.
      *
@@ -206,7 +255,7 @@
      * @return the refusal
      */
     private RefusedException refusal(Throwable cause) {
-        Ran ran = check.size() > 0 ? Ran.YES : sent ? Ran.UNKNOWN : Ran.NO;
+        Ran ran = check.size() > 0 ? Ran.YES : reached ? Ran.UNKNOWN : Ran.NO;
         return new RefusedException(
                 ErrorKind.ENDPOINT_FAILED,
                 ran,
--- a/server/src/main/java/org/ragwortpitch/dispatch/Slot.java
+++ b/server/src/main/java/org/ragwortpitch/dispatch/Slot.java
@@ -24,6 +24,11 @@
      */
     private final Demand demand;
 
+    /**
+     * Whether the request is suspected of crashing endpoints.
+     */
+    private final boolean suspect;
+
     /**
      * Whether the prompt was read.
      */
@@ -40,11 +45,13 @@
      * @param dispatcher the dispatcher that gives it
      * @param endpoint   the endpoint
      * @param demand     what the request asks of the endpoint
+     * @param suspect    whether the request is suspected of crashing endpoints
      */
-    Slot(Dispatcher dispatcher, EndpointRule endpoint, Demand demand) {
+    Slot(Dispatcher dispatcher, EndpointRule endpoint, Demand demand, boolean suspect) {
         this.dispatcher = dispatcher;
         this.endpoint = endpoint;
         this.demand = demand;
+        this.suspect = suspect;
     }
 
     /**
@@ -73,7 +80,7 @@
     public void release(boolean failed) {
         if (released.compareAndSet(false, true)) {
             prefilled();
-            dispatcher.release(endpoint.id(), failed);
+            dispatcher.release(endpoint.id(), failed, suspect);
         }
     }
 }
--- a/server/src/main/java/org/ragwortpitch/gateway/ServiceHandler.java
+++ b/server/src/main/java/org/ragwortpitch/gateway/ServiceHandler.java
@@ -131,6 +131,7 @@
                 context.route().priority(),
                 Demand.NONE,
                 firmOnly,
+                false,
                 failed,
                 context.deadlineMillis(),
                 new CompletableFuture<>());
--- a/server/src/main/java/org/ragwortpitch/peering/PeerAnswers.java
+++ b/server/src/main/java/org/ragwortpitch/peering/PeerAnswers.java
@@ -8,10 +8,12 @@
 import org.ragwortpitch.control.AskRecords;
 import org.ragwortpitch.control.ControlMessage;
 import org.ragwortpitch.control.HoldUsage;
+import org.ragwortpitch.dispatch.SuspectRegistry;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.Incarnation;
 import org.ragwortpitch.identity.TransferId;
 import org.ragwortpitch.limit.Allowance;
+import org.ragwortpitch.suspect.Fingerprint;
 import org.ragwortpitch.wire.PeerService;
 import org.ragwortpitch.wire.generated.PeerProtocol;
 import org.ragwortpitch.wire.generated.PeerProtocol.Frame;
@@ -20,9 +22,11 @@
  * Answers other daemons.
  *
  * @param admission lends allowance
+ * @param suspects  knows the requests that crash endpoints
  * @param control   sends messages to the control thread
  */
-public record PeerAnswers(AdmissionControl admission, Consumer<ControlMessage> control) implements PeerService {
+public record PeerAnswers(AdmissionControl admission, SuspectRegistry suspects, Consumer<ControlMessage> control)
+        implements PeerService {
 
     @Override
     public CompletionStage<Frame> answer(Frame call) {
@@ -77,6 +81,10 @@
                         new TransferId(settled.getId()),
                         new Allowance(settled.getTokens(), settled.getRequests()));
                 return Frame.getDefaultInstance();
+            case SUSPECT:
+                PeerProtocol.Suspect suspect = call.getSuspect();
+                suspects.learn(new Fingerprint(suspect.getFingerprint()), suspect.getCrashes());
+                return Frame.getDefaultInstance();
             case SHARE_SURRENDER:
                 admission.inherit(Frames.surrender(call.getShareSurrender()));
                 return Frame.getDefaultInstance();
--- a/server/src/main/java/org/ragwortpitch/peering/PeerNetwork.java
+++ b/server/src/main/java/org/ragwortpitch/peering/PeerNetwork.java
@@ -26,6 +26,7 @@
 import org.ragwortpitch.limit.Surrender;
 import org.ragwortpitch.membership.Member;
 import org.ragwortpitch.membership.Witness;
+import org.ragwortpitch.suspect.Fingerprint;
 import org.ragwortpitch.usage.UsageEntry;
 import org.ragwortpitch.wire.PeerException;
 import org.ragwortpitch.wire.PeerTransport;
@@ -197,6 +198,21 @@
         return all;
     }
 
+    /**
+     * Tells all other members of a request that crashes endpoints.
+     *
+     * @param request the request
+     * @param crashes the crashes that it was under way at
+     */
+    public void tellSuspect(Fingerprint request, int crashes) {
+        Frame frame = Frame.newBuilder()
+                .setSuspect(PeerProtocol.Suspect.newBuilder()
+                        .setFingerprint(request.value())
+                        .setCrashes(crashes))
+                .build();
+        others(snapshots.get()).forEach(member -> transport.call(member.peerAddress(), frame, CALL_MILLIS));
+    }
+
     /**
      * Chooses who holds usage.
      *
--- a/server/src/main/java/org/ragwortpitch/server/Daemon.java
+++ b/server/src/main/java/org/ragwortpitch/server/Daemon.java
@@ -26,6 +26,7 @@
 import org.ragwortpitch.dispatch.LoadPoller;
 import org.ragwortpitch.dispatch.RunParts;
 import org.ragwortpitch.dispatch.SharedRetryBudget;
+import org.ragwortpitch.dispatch.SuspectRegistry;
 import org.ragwortpitch.gateway.ActiveCalls;
 import org.ragwortpitch.gateway.CallerHandler;
 import org.ragwortpitch.gateway.GatewayParts;
@@ -83,17 +84,17 @@
     /**
      * How often engines are asked for their load, in milliseconds.
      */
-    private static final long POLL_MILLIS = 500;
+    private static final long POLL_MILLIS = 1_000;
 
     /**
      * How often other daemons are asked how far they are, in milliseconds.
      */
-    private static final long PRESENCE_MILLIS = 500;
+    private static final long PRESENCE_MILLIS = 1_000;
 
     /**
      * How often queues are looked through, in milliseconds.
      */
-    private static final long QUEUE_TICK_MILLIS = 20;
+    private static final long QUEUE_TICK_MILLIS = 50;
 
     /**
      * How long usage waits for the log before other daemons are asked to hold it, in milliseconds.
@@ -170,6 +171,11 @@
      */
     private final AdmissionControl admission;
 
+    /**
+     * Knows the requests that crash endpoints.
+     */
+    private final SuspectRegistry suspects;
+
     /**
      * Gives requests endpoints.
      */
@@ -207,7 +213,8 @@
                         .answer(call)));
         this.network = new PeerNetwork(transport, latest::get, mailbox, clocks, settings.failureDomain());
         this.admission = new AdmissionControl(HOME_COUNT, clocks, network);
-        answers.set(new PeerAnswers(admission, mailbox));
+        this.suspects = new SuspectRegistry(clocks, network::tellSuspect);
+        answers.set(new PeerAnswers(admission, suspects, mailbox));
         this.dispatcher = new Dispatcher(
                 clocks,
                 settings.queueBounds(),
@@ -238,7 +245,7 @@
                 settings.gateway(),
                 clocks,
                 admission,
-                new RunParts(dispatcher, engines, budget, metrics, clocks),
+                new RunParts(dispatcher, engines, budget, suspects, metrics, clocks),
                 new UsageKeeper(
                         mailbox, network, LOG_WAIT_MILLIS, settings.gateway().usageHoldMillis()),
                 active,
@@ -269,9 +276,11 @@
      */
     private ActorRef<ControlMessage> startControl() throws InvalidSettingException {
         PlaceSettings place = settings.place();
-        HttpPlatform platform =
-                new HttpPlatform(new JsonClient(system), place.platformUri(), place.platformTimeoutMillis());
-        SnapshotFollower follower = new SnapshotFollower(latest, clocks, admission, dispatcher, active, metrics);
+        HttpPlatform platform = new HttpPlatform(
+                new JsonClient(system, 2 * place.platformTimeoutMillis()),
+                place.platformUri(),
+                place.platformTimeoutMillis());
+        SnapshotFollower follower = new SnapshotFollower(latest, admission, dispatcher, active, metrics);
         String peerAddress = place.listenHost() + ":" + transport.port();
         return Adapter.spawn(
                 system,
@@ -290,7 +299,19 @@
         every(POLL_MILLIS, () -> poller.poll(latest.get().configuration()));
         every(PRESENCE_MILLIS, network::tick);
         every(QUEUE_TICK_MILLIS, dispatcher::tick);
-        every(PRESENCE_MILLIS, () -> metrics.control("peer_sent_bytes", transport.sentBytes()));
+        every(PRESENCE_MILLIS, this::measure);
+    }
+
+    /**
+     * Sets the metrics that change with time alone.
+     */
+    private void measure() {
+        Snapshot snapshot = latest.get();
+        long nowMillis = clocks.nowMillis();
+        boolean never = snapshot.contactMillis() == Long.MIN_VALUE;
+        metrics.control("peer_sent_bytes", transport.sentBytes());
+        metrics.control("lease_remaining_ms", Math.max(0, snapshot.leaseEndMillis() - nowMillis));
+        metrics.control("contact_age_ms", never ? -1 : nowMillis - snapshot.contactMillis());
     }
 
     /**
--- a/server/src/main/java/org/ragwortpitch/server/SnapshotFollower.java
+++ b/server/src/main/java/org/ragwortpitch/server/SnapshotFollower.java
@@ -5,7 +5,6 @@
 import java.util.stream.Collectors;
 import org.ragwortpitch.admission.AdmissionControl;
 import org.ragwortpitch.configuration.AccountRule;
-import org.ragwortpitch.control.Clocks;
 import org.ragwortpitch.control.Snapshot;
 import org.ragwortpitch.dispatch.Dispatcher;
 import org.ragwortpitch.gateway.ActiveCalls;
@@ -22,11 +21,6 @@
      */
     private final AtomicReference<Snapshot> latest;
 
-    /**
-     * The clocks.
-     */
-    private final Clocks clocks;
-
     /**
      * Admits requests.
      */
@@ -51,7 +45,6 @@
      * Makes a follower that has seen nothing.
      *
      * @param latest     where snapshots are kept
-     * @param clocks     the clocks
      * @param admission  admits requests
      * @param dispatcher gives requests endpoints
      * @param active     the calls under way
@@ -59,13 +52,11 @@
      */
     SnapshotFollower(
             AtomicReference<Snapshot> latest,
-            Clocks clocks,
             AdmissionControl admission,
             Dispatcher dispatcher,
             ActiveCalls active,
             ServerMetrics metrics) {
         this.latest = latest;
-        this.clocks = clocks;
         this.admission = admission;
         this.dispatcher = dispatcher;
         this.active = active;
@@ -97,12 +88,8 @@
      * @param next the snapshot
      */
     private void measure(Snapshot next) {
-        long nowMillis = clocks.nowMillis();
-        boolean never = next.contactMillis() == Long.MIN_VALUE;
         metrics.control("applied_offset", next.appliedOffset());
         metrics.control("rules_version", next.configurationVersion());
         metrics.control("members", next.members().size());
-        metrics.control("lease_remaining_ms", Math.max(0, next.leaseEndMillis() - nowMillis));
-        metrics.control("contact_age_ms", never ? -1 : nowMillis - next.contactMillis());
     }
 }
--- a/wire/src/main/java/org/ragwortpitch/wire/PeerConnection.java
+++ b/wire/src/main/java/org/ragwortpitch/wire/PeerConnection.java
@@ -104,7 +104,7 @@
      * @return whether it gets one
      */
     private static boolean awaitsAnswer(Frame body) {
-        return !body.hasLoanSettled() && !body.hasShareSurrender();
+        return !body.hasLoanSettled() && !body.hasShareSurrender() && !body.hasSuspect();
     }
 
     /**
