--- a/measure/src/main/java/org/ragwortpitch/measure/MemoryMeasurement.java
+++ b/measure/src/main/java/org/ragwortpitch/measure/MemoryMeasurement.java
@@ -54,8 +54,9 @@
     private static void row(PrintStream table, String name, IntFunction<Object> state) {
         state.apply(SMALL);
         long small = bytes(state, SMALL);
-        long startNanos = System.nanoTime();
         long large = bytes(state, LARGE);
+        long startNanos = System.nanoTime();
+        state.apply(LARGE);
         double micros = (System.nanoTime() - startNanos) / 1e3 / LARGE;
         table.printf("%s,%d,%.2f%n", name, (large - small) / (LARGE - SMALL), micros);
     }
--- a/policy/src/main/java/org/ragwortpitch/order/OrderFold.java
+++ b/policy/src/main/java/org/ragwortpitch/order/OrderFold.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.journal.LogRecord;
 import org.ragwortpitch.journal.OrderClosed;
@@ -81,6 +84,19 @@
         return List.copyOf(open.values());
     }
 
+    /**
+     * Tells the endpoints that an order may be under way to.
+     *
+     * @return the endpoints
+     */
+    public Set<EndpointId> targets() {
+        return open.values().stream()
+                .map(order -> order.order().target())
+                .filter(target -> !target.isEmpty())
+                .map(EndpointId::new)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Replaces the state by that of a checkpoint.
      *
--- a/scenarios/src/test/java/org/ragwortpitch/scenarios/FaultSteps.java
+++ b/scenarios/src/test/java/org/ragwortpitch/scenarios/FaultSteps.java
@@ -88,6 +88,33 @@
                         .contains("ragwortpitch_control{value=\"lease_remaining_ms\"} 0.0")));
     }
 
+    @When("rules want engine {int} to be {word}")
+    public void rulesWantRole(int engine, String role) throws IOException {
+        Deployment deployment = world.deployment();
+        DaemonProcess through = deployment.alive().findFirst().orElseThrow();
+        String wanted = deployment
+                .document(through)
+                .text()
+                .replaceAll("(?m)^(endpoint e" + engine + " [^#]*?)(role=\\w+ )?#", "$1role=" + role + " #");
+        Reply reply = deployment.propose(through, deployment.document(through).version(), wanted);
+        assertEquals(200, reply.status(), reply.body());
+    }
+
+    @Then("within {int} ms engine {int} is {word}, by {int} kind(s) of order")
+    public void engineIs(int withinMillis, int engine, String role, int orders) throws IOException {
+        Deployment deployment = world.deployment();
+        Await.until("the role of engine " + engine, withinMillis, () -> deployment
+                .standin(engine, "/v1/load")
+                .path("role")
+                .asText()
+                .equals(role));
+        assertEquals(
+                orders,
+                deployment.standin(engine, "/standin/orders").findValues("argument").stream()
+                        .distinct()
+                        .count());
+    }
+
     @When("a request that crashes endpoints is sent through daemon {int} beside {int} others")
     public void aCrashingRequestIsSent(int daemon, int others) {
         Deployment deployment = world.deployment();
--- a/scenarios/src/test/resources/scenarios/control.feature
+++ b/scenarios/src/test/resources/scenarios/control.feature
@@ -72,3 +72,18 @@
   Scenario: A daemon that starts on a trimmed log comes up right
     Given 3 daemons before a log that keeps 100 records
     Then the log was trimmed, and a daemon that starts now serves by the same rules
+
+  Scenario Outline: Engines are ordered once each, though the holder of the duty is <fate>
+    Given 3 daemons in force
+    When rules want engine 1 to be decode
+    Then within 15000 ms engine 1 is decode, by 1 kind of order
+    When rules want engine 2 to be prefill
+    And the holder of the fleet/m duty is <fate>
+    Then within 10000 ms another daemon holds the fleet/m duty
+    And within 20000 ms engine 2 is prefill, by 1 kind of order
+    And within 100 ms engine 1 is decode, by 1 kind of order
+
+    Examples:
+      | fate   |
+      | killed |
+      | frozen |
--- a/server/src/main/java/org/ragwortpitch/control/AppliedListener.java
+++ b/server/src/main/java/org/ragwortpitch/control/AppliedListener.java
@@ -6,6 +6,7 @@
 /**
  * Is told of each record that is read.
  */
+@FunctionalInterface
 interface AppliedListener {
 
     /**
@@ -15,11 +16,4 @@
      * @param verdict what the fold made of it
      */
     void applied(LogRecord record, Verdict verdict);
-
-    /**
-     * A record of an unknown kind or version was passed over.
-     *
-     * @param offset its offset
-     */
-    void skipped(long offset);
 }
--- a/server/src/main/java/org/ragwortpitch/control/ControlActor.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlActor.java
@@ -3,12 +3,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.ragwortpitch.configuration.EndpointRule;
+import org.ragwortpitch.endpoint.Engine;
+import org.ragwortpitch.order.OrderOutcome;
+import org.ragwortpitch.platform.Acknowledgement;
+import org.ragwortpitch.platform.PlatformException;
+import org.ragwortpitch.platform.PlatformFailure;
 import org.ragwortpitch.platform.PlatformLog;
 import org.ragwortpitch.platform.UsageReports;
 
@@ -50,6 +57,7 @@
      * @param clocks    the clocks
      * @param log       the platform's log
      * @param reports   the platform's usage reports
+     * @param engines   supplies clients of engines
      * @param publisher takes each new snapshot
      */
     private ControlActor(
@@ -58,6 +66,7 @@
             Clocks clocks,
             PlatformLog log,
             UsageReports reports,
+            Function<EndpointRule, Engine> engines,
             Consumer<Snapshot> publisher) {
         super(context);
         this.clocks = clocks;
@@ -72,6 +81,10 @@
                         self.tell(new ReportFailed(report.window(), String.valueOf(failure)));
                     }
                 }),
+                (endpoint, order) -> engines.apply(endpoint)
+                        .order(order)
+                        .whenComplete((done, failure) ->
+                                self.tell(new OrderAnswered(order.token(), outcomeOf(done, failure)))),
                 publisher);
     }
 
@@ -82,6 +95,7 @@
      * @param clocks    the clocks
      * @param log       the platform's log
      * @param reports   the platform's usage reports
+     * @param engines   supplies clients of engines
      * @param publisher takes each new snapshot, on the control thread
      * @return the behavior
      */
@@ -90,10 +104,11 @@
             Clocks clocks,
             PlatformLog log,
             UsageReports reports,
+            Function<EndpointRule, Engine> engines,
             Consumer<Snapshot> publisher) {
         return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
             timers.startTimerWithFixedDelay(Tick.INSTANCE, Duration.ofMillis(TICK_MILLIS));
-            return new ControlActor(context, settings, clocks, log, reports, publisher);
+            return new ControlActor(context, settings, clocks, log, reports, engines, publisher);
         }));
     }
 
@@ -148,8 +163,12 @@
             core.reports().done(done);
         } else if (message instanceof ReportFailed failed) {
             core.reports().failed(failed, nowMillis);
+        } else if (message instanceof EndpointReported reported) {
+            core.fleet().reported(reported);
+        } else if (message instanceof OrderAnswered answered) {
+            core.fleet().answered(answered);
         } else if (message instanceof BeginLeaving leaving) {
-            core.beginLeaving(leaving, nowMillis);
+            core.session().take(leaving, nowMillis);
         } else if (message instanceof PeerRecords records) {
             core.peerRecords(records.records(), nowMillis);
         } else if (message instanceof AskRecords question) {
@@ -161,6 +180,22 @@
         }
     }
 
+    /**
+     * Tells what an engine's answer to an order means.
+     *
+     * @param done    the answer
+     * @param failure why there was none
+     * @return the outcome; null if it is not known
+     */
+    private static OrderOutcome outcomeOf(Acknowledgement done, Throwable failure) {
+        if (failure == null) {
+            return done.accepted() ? OrderOutcome.ACKNOWLEDGED : OrderOutcome.REFUSED;
+        }
+        boolean refused =
+                failure instanceof PlatformException platform && platform.failure() == PlatformFailure.REFUSED;
+        return refused ? OrderOutcome.REFUSED : null;
+    }
+
     /**
      * Calls the log and turns its answers into messages.
      *
--- a/server/src/main/java/org/ragwortpitch/control/ControlCore.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlCore.java
@@ -16,8 +16,7 @@
 import org.ragwortpitch.platform.UsageReport;
 
 /**
- * All control state of a daemon. It reads no clock and does no input or output of its own. Confined to the control
- * thread.
+ * All control state of a daemon, without clock, input or output of its own. Confined to the control thread.
  */
 final class ControlCore implements AppliedListener {
 
@@ -86,6 +85,11 @@
      */
     private final RulesDesk rules;
 
+    /**
+     * Orders engines.
+     */
+    private final FleetDesk fleet;
+
     /**
      * Reports usage.
      */
@@ -127,12 +131,14 @@
      * @param settings     the settings
      * @param log          calls the log
      * @param reportSender sends a usage report under a term
+     * @param orderSender  sends orders to engines
      * @param publisher    takes each new snapshot
      */
     ControlCore(
             ControlSettings settings,
             LogCalls log,
             BiConsumer<UsageReport, Long> reportSender,
+            OrderSender orderSender,
             Consumer<Snapshot> publisher) {
         this.settings = settings;
         this.log = log;
@@ -143,6 +149,7 @@
         this.peers = new PeerDesk(settings, fold, writer, session, watch);
         this.operations = new OperationDesk(fold, writer);
         this.rules = new RulesDesk(fold, writer);
+        this.fleet = new FleetDesk(fold, writer, session, orderSender);
         this.reports = new ReportDesk(fold, writer, reportSender);
     }
 
@@ -190,6 +197,7 @@
                 .forEach(writer::add);
         if (!session.isLeaving()) {
             reports.tick(session.incarnation(), nowMillis);
+            fleet.tick(rules.configuration(), nowMillis);
         }
     }
 
@@ -220,11 +228,11 @@
     private void applied(long nowMillis) {
         watch.observe(fold.members(), nowMillis);
         peers.retainMembers();
-        boolean moved = fold.membership().changedOffset() != followedOffset;
-        followedOffset = fold.membership().changedOffset();
-        if (rules.refresh() || moved) {
+        long changedOffset = fold.membership().changedOffset();
+        if (rules.refresh() || changedOffset != followedOffset) {
             session.renewSoon();
         }
+        followedOffset = changedOffset;
     }
 
     /**
@@ -294,23 +302,6 @@
         operations.start(request, session.believes(nowMillis) && fresh, wallMillis);
     }
 
-    /**
-     * Begins to leave, or leaves.
-     *
-     * @param request   the wish
-     * @param nowMillis the present time, of the monotonic clock
-     */
-    void beginLeaving(BeginLeaving request, long nowMillis) {
-        if (!request.last()) {
-            session.beginLeaving(nowMillis);
-            request.done().complete(true);
-        } else if (session.isMember()) {
-            session.leave().acknowledged().thenAccept(offset -> request.done().complete(true));
-        } else {
-            request.done().complete(false);
-        }
-    }
-
     /**
      * Publishes a snapshot if anything in it has changed.
      *
@@ -333,6 +324,7 @@
                 rules,
                 fold.members(),
                 fold.duties().terms(),
+                fold.orders().targets(),
                 Math.max(fold.membership().changedOffset(), fold.configuration().version())));
     }
 
@@ -343,9 +335,13 @@
         }
     }
 
-    @Override
-    public void skipped(long offset) {
-        Event.of("record-skipped").with("offset", offset).warn(LOGGER);
+    /**
+     * Gives access to this daemon's membership.
+     *
+     * @return the session
+     */
+    MemberSession session() {
+        return session;
     }
 
     /**
@@ -366,6 +362,15 @@
         return rules;
     }
 
+    /**
+     * Gives access to orders to engines.
+     *
+     * @return the desk
+     */
+    FleetDesk fleet() {
+        return fleet;
+    }
+
     /**
      * Gives access to usage reports.
      *
@@ -385,7 +390,7 @@
     }
 
     /**
-     * Gives access to the log as applied, for showing it.
+     * Gives access to the log as applied.
      *
      * @return the fold
      */
--- a/server/src/main/java/org/ragwortpitch/control/ControlMessage.java
+++ b/server/src/main/java/org/ragwortpitch/control/ControlMessage.java
@@ -21,4 +21,6 @@
                 AskPresence,
                 AskRecords,
                 HoldUsage,
+                EndpointReported,
+                OrderAnswered,
                 AskState {}
--- a/server/src/main/java/org/ragwortpitch/control/LogTail.java
+++ b/server/src/main/java/org/ragwortpitch/control/LogTail.java
@@ -1,5 +1,6 @@
 package org.ragwortpitch.control;
 
+import java.lang.System.Logger;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -9,6 +10,7 @@
 import org.ragwortpitch.journal.LogRecord;
 import org.ragwortpitch.journal.Verdict;
 import org.ragwortpitch.journal.codec.RecordCodec;
+import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.platform.LogPage;
 import org.ragwortpitch.platform.StoredRecord;
 
@@ -18,6 +20,11 @@
  */
 final class LogTail {
 
+    /**
+     * Where events go.
+     */
+    private static final Logger LOGGER = System.getLogger(LogTail.class.getName());
+
     /**
      * How many of the records applied last are remembered.
      */
@@ -130,7 +137,7 @@
             listener.applied(record.get(), verdict);
         } else {
             fold.skip(stored.offset());
-            listener.skipped(stored.offset());
+            Event.of("record-skipped").with("offset", stored.offset()).warn(LOGGER);
         }
     }
 
--- a/server/src/main/java/org/ragwortpitch/control/MemberSession.java
+++ b/server/src/main/java/org/ragwortpitch/control/MemberSession.java
@@ -188,12 +188,29 @@
         renewedAtMillis = Math.min(renewedAtMillis, renewedAtMillis - timing.renewMillis());
     }
 
+    /**
+     * Begins to leave, or leaves.
+     *
+     * @param request   the wish
+     * @param nowMillis the present time, of the monotonic clock
+     */
+    void take(BeginLeaving request, long nowMillis) {
+        if (!request.last()) {
+            beginLeaving(nowMillis);
+            request.done().complete(true);
+        } else if (member) {
+            leave().acknowledged().thenAccept(offset -> request.done().complete(true));
+        } else {
+            request.done().complete(false);
+        }
+    }
+
     /**
      * Begins a graceful shutdown, which the next renewal tells all members.
      *
      * @param nowMillis the present time, of the monotonic clock
      */
-    void beginLeaving(long nowMillis) {
+    private void beginLeaving(long nowMillis) {
         leaving = true;
         if (member) {
             renew(nowMillis);
@@ -205,7 +222,7 @@
      *
      * @return the record on its way
      */
-    Pending leave() {
+    private Pending leave() {
         left = true;
         member = false;
         lease.end();
--- a/server/src/main/java/org/ragwortpitch/control/PublishedMark.java
+++ b/server/src/main/java/org/ragwortpitch/control/PublishedMark.java
@@ -1,7 +1,9 @@
 package org.ragwortpitch.control;
 
 import java.util.List;
+import java.util.Set;
 import org.ragwortpitch.duty.DutyTerm;
+import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.Incarnation;
 import org.ragwortpitch.membership.Member;
 
@@ -31,10 +33,12 @@
      * @param rules         the rules
      * @param members       the members
      * @param duties        the held duties
+     * @param ordered       the endpoints that an order may be under way to
      * @param changedOffset where members or rules last changed
      * @return the snapshot
      */
-    Snapshot toSnapshot(RulesDesk rules, List<Member> members, List<DutyTerm> duties, long changedOffset) {
+    Snapshot toSnapshot(
+            RulesDesk rules, List<Member> members, List<DutyTerm> duties, Set<EndpointId> ordered, long changedOffset) {
         return new Snapshot(
                 self,
                 isMember,
@@ -43,6 +47,7 @@
                 rules.version(),
                 members,
                 duties,
+                ordered,
                 changedOffset,
                 appliedOffset,
                 leaseEndMillis,
--- a/server/src/main/java/org/ragwortpitch/control/Snapshot.java
+++ b/server/src/main/java/org/ragwortpitch/control/Snapshot.java
@@ -1,8 +1,10 @@
 package org.ragwortpitch.control;
 
 import java.util.List;
+import java.util.Set;
 import org.ragwortpitch.configuration.Configuration;
 import org.ragwortpitch.duty.DutyTerm;
+import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.Incarnation;
 import org.ragwortpitch.membership.Member;
 
@@ -16,6 +18,7 @@
  * @param configurationVersion their version; -1 without any
  * @param members              the members
  * @param duties               the held duties
+ * @param ordered              the endpoints that an order may be under way to
  * @param changedOffset        where members or rules last changed
  * @param appliedOffset        how far the log was applied
  * @param leaseEndMillis       when the membership lease ends, of the monotonic clock
@@ -30,6 +33,7 @@
         long configurationVersion,
         List<Member> members,
         List<DutyTerm> duties,
+        Set<EndpointId> ordered,
         long changedOffset,
         long appliedOffset,
         long leaseEndMillis,
@@ -42,6 +46,7 @@
     public Snapshot {
         members = List.copyOf(members);
         duties = List.copyOf(duties);
+        ordered = Set.copyOf(ordered);
     }
 
     /**
@@ -55,6 +60,7 @@
             -1,
             List.of(),
             List.of(),
+            Set.of(),
             -1,
             -1,
             Long.MIN_VALUE,
--- a/server/src/main/java/org/ragwortpitch/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/ragwortpitch/dispatch/Dispatcher.java
@@ -76,6 +76,11 @@
      */
     private Configuration configuration = Configuration.EMPTY;
 
+    /**
+     * The endpoints that an order may be under way to, which get no new requests.
+     */
+    private Set<EndpointId> ordered = Set.of();
+
     /**
      * How many daemons share the endpoints.
      */
@@ -97,11 +102,13 @@
     /**
      * Takes the rules and the number of daemons.
      *
-     * @param rules   the rules in force
-     * @param members how many daemons share the endpoints
+     * @param rules     the rules in force
+     * @param members   how many daemons share the endpoints
+     * @param underWay  the endpoints that an order may be under way to
      */
-    public synchronized void follow(Configuration rules, int members) {
+    public synchronized void follow(Configuration rules, int members, Set<EndpointId> underWay) {
         daemons = Math.max(1, members);
+        ordered = underWay;
         if (rules == configuration) {
             return;
         }
@@ -224,6 +231,9 @@
         boolean othersExist = false;
         for (EndpointRule rule : configuration.endpointsOf(request.pool().id())) {
             EndpointTracker tracker = trackers.get(rule.id());
+            if (ordered.contains(rule.id())) {
+                continue;
+            }
             boolean avoid = request.avoided().contains(rule.id());
             boolean allowed = (!request.firmOnly() || rule.supply() == Supply.FIRM)
                     && !(request.suspect() && tracker.hasSuspect());
--- a/server/src/main/java/org/ragwortpitch/dispatch/LoadPoller.java
+++ b/server/src/main/java/org/ragwortpitch/dispatch/LoadPoller.java
@@ -2,10 +2,13 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.ragwortpitch.configuration.Configuration;
 import org.ragwortpitch.configuration.EndpointRule;
 import org.ragwortpitch.configuration.PoolKind;
 import org.ragwortpitch.control.Clocks;
+import org.ragwortpitch.control.ControlMessage;
+import org.ragwortpitch.control.EndpointReported;
 import org.ragwortpitch.endpoint.Engine;
 import org.ragwortpitch.identity.EndpointId;
 
@@ -29,6 +32,11 @@
      */
     private final Dispatcher dispatcher;
 
+    /**
+     * Sends messages to the control thread.
+     */
+    private final Consumer<ControlMessage> control;
+
     /**
      * The next cache event of each engine.
      */
@@ -40,8 +48,10 @@
      * @param clocks     the clocks
      * @param engines    supplies the engines
      * @param dispatcher takes what the engines tell
+     * @param control    sends messages to the control thread
      */
-    public LoadPoller(Clocks clocks, Engines engines, Dispatcher dispatcher) {
+    public LoadPoller(Clocks clocks, Engines engines, Dispatcher dispatcher, Consumer<ControlMessage> control) {
+        this.control = control;
         this.clocks = clocks;
         this.engines = engines;
         this.dispatcher = dispatcher;
@@ -75,7 +85,10 @@
         long askedMillis = clocks.nowMillis();
         Engine engine = engines.of(endpoint);
         dispatcher.reportAsked(endpoint.id());
-        engine.load().thenAccept(report -> dispatcher.reported(endpoint.id(), report, askedMillis));
+        engine.load().thenAccept(report -> {
+            dispatcher.reported(endpoint.id(), report, askedMillis);
+            control.accept(new EndpointReported(endpoint.id(), report));
+        });
         engine.cacheEvents(nextEvents.getOrDefault(endpoint.id(), 0L)).thenAccept(events -> {
             nextEvents.put(endpoint.id(), events.nextSequence());
             dispatcher.cacheEvents(endpoint.id(), events.events());
--- a/server/src/main/java/org/ragwortpitch/server/Daemon.java
+++ b/server/src/main/java/org/ragwortpitch/server/Daemon.java
@@ -222,8 +222,8 @@
         HttpEngines engines = new HttpEngines(system);
         this.callers = bind(place.callerPort(), new CallerHandler(gatewayParts(engines), latest::get, mailbox));
         this.operators = bind(place.operatorPort(), operatorHandler());
-        mailbox.attach(startControl());
-        startTasks(new LoadPoller(clocks, engines, dispatcher));
+        mailbox.attach(startControl(engines));
+        startTasks(new LoadPoller(clocks, engines, dispatcher, mailbox));
         Event.of("daemon-ready")
                 .with("instance", settings.instance())
                 .with("callers", callerAddress())
@@ -271,10 +271,11 @@
     /**
      * Starts the control thread.
      *
+     * @param engines supplies clients of engines
      * @return the control thread
      * @throws InvalidSettingException if a setting cannot be used after all
      */
-    private ActorRef<ControlMessage> startControl() throws InvalidSettingException {
+    private ActorRef<ControlMessage> startControl(HttpEngines engines) throws InvalidSettingException {
         PlaceSettings place = settings.place();
         HttpPlatform platform = new HttpPlatform(
                 new JsonClient(system, 2 * place.platformTimeoutMillis()),
@@ -285,7 +286,12 @@
         return Adapter.spawn(
                 system,
                 ControlActor.create(
-                        settings.control(callerAddress(), peerAddress), clocks, platform, platform, follower),
+                        settings.control(callerAddress(), peerAddress),
+                        clocks,
+                        platform,
+                        platform,
+                        engines::of,
+                        follower),
                 "control",
                 DispatcherSelector.fromConfig("ragwortpitch.control-dispatcher"));
     }
--- a/server/src/main/java/org/ragwortpitch/server/SnapshotFollower.java
+++ b/server/src/main/java/org/ragwortpitch/server/SnapshotFollower.java
@@ -67,10 +67,12 @@
     public void accept(Snapshot next) {
         Snapshot last = latest.get();
         boolean changed = next.configuration() != last.configuration();
-        boolean moved = changed || !next.members().equals(last.members());
+        boolean moved = changed
+                || !next.members().equals(last.members())
+                || !next.ordered().equals(last.ordered());
         admission.follow(next);
         if (moved) {
-            dispatcher.follow(next.configuration(), next.members().size());
+            dispatcher.follow(next.configuration(), next.members().size(), next.ordered());
         }
         latest.set(next);
         if (changed) {
