--- a/scenarios/src/test/java/org/ragwortpitch/scenarios/FaultSteps.java
+++ b/scenarios/src/test/java/org/ragwortpitch/scenarios/FaultSteps.java
@@ -9,6 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.ragwortpitch.http.Json;
+import org.ragwortpitch.platform.ListedEndpoint;
 import org.ragwortpitch.standin.EngineFault;
 import org.ragwortpitch.standin.Faults;
 import org.ragwortpitch.standin.LinkFault;
@@ -115,6 +117,29 @@
                         .count());
     }
 
+    @When("the platform announces to take engine {int} back")
+    public void thePlatformTakesBack(int engine) {
+        Deployment deployment = world.deployment();
+        ListedEndpoint notice = new ListedEndpoint("e" + engine, "m", "", "cheap", "", 0, 5_000);
+        deployment.post(deployment.port(0), "/standin/reclaim", "", Json.write(notice));
+    }
+
+    @Then("within {int} ms engine {int} gets no new work")
+    public void engineGetsNoNewWork(int withinMillis, int engine) throws IOException {
+        Await.until("the end of new work", withinMillis, () -> receivedByCalls(engine) == 0);
+        assertEquals(0, receivedByCalls(engine) + receivedByCalls(engine));
+    }
+
+    private int receivedByCalls(int engine) throws IOException {
+        Deployment deployment = world.deployment();
+        int before = deployment.standin(engine, "/standin/received").size();
+        deployment
+                .alive()
+                .forEach(daemon ->
+                        assertEquals(200, deployment.call(daemon, "hello", 1).status()));
+        return deployment.standin(engine, "/standin/received").size() - before;
+    }
+
     @When("a request that crashes endpoints is sent through daemon {int} beside {int} others")
     public void aCrashingRequestIsSent(int daemon, int others) {
         Deployment deployment = world.deployment();
--- a/scenarios/src/test/resources/scenarios/traffic.feature
+++ b/scenarios/src/test/resources/scenarios/traffic.feature
@@ -48,3 +48,8 @@
     When a request that crashes endpoints is sent through daemon 1 beside 6 others
     Then every other caller gets the whole answer
     And within 500 ms every daemon refuses it without running it
+
+  Scenario: An endpoint that the platform takes back gets no new work
+    Given 3 daemons in force
+    When the platform announces to take engine 1 back
+    Then within 2000 ms engine 1 gets no new work
--- a/server/src/main/java/org/ragwortpitch/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/ragwortpitch/dispatch/Dispatcher.java
@@ -81,6 +81,11 @@
      */
     private Set<EndpointId> ordered = Set.of();
 
+    /**
+     * The endpoints that the platform takes back, which get no new requests either.
+     */
+    private Set<EndpointId> reclaimed = Set.of();
+
     /**
      * How many daemons share the endpoints.
      */
@@ -122,6 +127,15 @@
         rules.pools().forEach(pool -> pump(pool.id()));
     }
 
+    /**
+     * Takes the endpoints that the platform takes back.
+     *
+     * @param endpoints the endpoints
+     */
+    public synchronized void reclaimed(Set<EndpointId> endpoints) {
+        reclaimed = Set.copyOf(endpoints);
+    }
+
     /**
      * Asks for an endpoint. The request waits in turn; its slot comes through {@link DispatchRequest#slot}.
      *
@@ -231,7 +245,7 @@
         boolean othersExist = false;
         for (EndpointRule rule : configuration.endpointsOf(request.pool().id())) {
             EndpointTracker tracker = trackers.get(rule.id());
-            if (ordered.contains(rule.id())) {
+            if (ordered.contains(rule.id()) || reclaimed.contains(rule.id())) {
                 continue;
             }
             boolean avoid = request.avoided().contains(rule.id());
--- a/server/src/main/java/org/ragwortpitch/server/Daemon.java
+++ b/server/src/main/java/org/ragwortpitch/server/Daemon.java
@@ -24,6 +24,7 @@
 import org.ragwortpitch.dispatch.Dispatcher;
 import org.ragwortpitch.dispatch.HttpEngines;
 import org.ragwortpitch.dispatch.LoadPoller;
+import org.ragwortpitch.dispatch.ReclaimWatch;
 import org.ragwortpitch.dispatch.RunParts;
 import org.ragwortpitch.dispatch.SharedRetryBudget;
 import org.ragwortpitch.dispatch.SuspectRegistry;
@@ -151,6 +152,11 @@
      */
     private final ActorSystem system;
 
+    /**
+     * The platform.
+     */
+    private final HttpPlatform platform;
+
     /**
      * Does what is due from time to time.
      */
@@ -205,6 +211,10 @@
             system.terminate();
             system.getWhenTerminated().toCompletableFuture().join();
         });
+        this.platform = new HttpPlatform(
+                new JsonClient(system, 2 * place.platformTimeoutMillis()),
+                place.platformUri(),
+                place.platformTimeoutMillis());
         this.timer = Executors.newSingleThreadScheduledExecutor();
         closer.add(timer::shutdownNow);
         AtomicReference<PeerService> answers = new AtomicReference<>();
@@ -223,7 +233,7 @@
         this.callers = bind(place.callerPort(), new CallerHandler(gatewayParts(engines), latest::get, mailbox));
         this.operators = bind(place.operatorPort(), operatorHandler());
         mailbox.attach(startControl(engines));
-        startTasks(new LoadPoller(clocks, engines, dispatcher, mailbox));
+        startTasks(new LoadPoller(clocks, engines, dispatcher, mailbox), new ReclaimWatch(platform, dispatcher));
         Event.of("daemon-ready")
                 .with("instance", settings.instance())
                 .with("callers", callerAddress())
@@ -277,10 +287,6 @@
      */
     private ActorRef<ControlMessage> startControl(HttpEngines engines) throws InvalidSettingException {
         PlaceSettings place = settings.place();
-        HttpPlatform platform = new HttpPlatform(
-                new JsonClient(system, 2 * place.platformTimeoutMillis()),
-                place.platformUri(),
-                place.platformTimeoutMillis());
         SnapshotFollower follower = new SnapshotFollower(latest, admission, dispatcher, active, metrics);
         String peerAddress = place.listenHost() + ":" + transport.port();
         return Adapter.spawn(
@@ -299,9 +305,11 @@
     /**
      * Starts what is done from time to time.
      *
-     * @param poller asks engines for their load
+     * @param poller  asks engines for their load
+     * @param reclaim watches for endpoints that the platform takes back
      */
-    private void startTasks(LoadPoller poller) {
+    private void startTasks(LoadPoller poller, ReclaimWatch reclaim) {
+        every(POLL_MILLIS, reclaim::poll);
         every(POLL_MILLIS, () -> poller.poll(latest.get().configuration()));
         every(PRESENCE_MILLIS, network::tick);
         every(QUEUE_TICK_MILLIS, dispatcher::tick);
--- a/standin/src/main/java/org/ragwortpitch/standin/PlatformHandler.java
+++ b/standin/src/main/java/org/ragwortpitch/standin/PlatformHandler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
@@ -17,6 +18,7 @@
 import org.ragwortpitch.platform.AppendCall;
 import org.ragwortpitch.platform.EndpointList;
 import org.ragwortpitch.platform.Instances;
+import org.ragwortpitch.platform.ListedEndpoint;
 import org.ragwortpitch.platform.UsageReport;
 import org.ragwortpitch.platform.WeightAllowance;
 
@@ -55,6 +57,11 @@
      */
     private final transient FaultSwitch faults;
 
+    /**
+     * The endpoints that are announced to be taken back, the only ones that are listed.
+     */
+    private final transient List<ListedEndpoint> reclaimed = new CopyOnWriteArrayList<>();
+
     /**
      * Makes a handler.
      *
@@ -98,7 +105,10 @@
             case "/usage/reports":
                 return body.isEmpty() ? json(usage.reports()) : report(Json.read(body, UsageReport.class));
             case "/endpoints":
-                return json(new EndpointList(List.of()));
+                return json(new EndpointList(List.copyOf(reclaimed)));
+            case "/standin/reclaim":
+                reclaimed.add(Json.read(body, ListedEndpoint.class));
+                return json(new Acknowledgement(true));
             case "/instances":
                 return json(new Instances(List.of()));
             case "/weights":
