--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -0,0 +1,257 @@
+package org.ragwortpitch.edge;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.lang.System.Logger;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.contract.DirectoryForm;
+import org.ragwortpitch.contract.InstanceSettings;
+import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.deployment.Deployment;
+import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.edge.control.Control;
+import org.ragwortpitch.edge.control.ControlListener;
+import org.ragwortpitch.edge.directory.EdgeMetrics;
+import org.ragwortpitch.edge.directory.SmallAnswer;
+import org.ragwortpitch.edge.directory.SmallServer;
+import org.ragwortpitch.edge.front.FrontServer;
+import org.ragwortpitch.edge.http.ConnectionPool;
+import org.ragwortpitch.edge.http.HttpCaller;
+import org.ragwortpitch.edge.peer.GossipSocket;
+import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.edge.traffic.Accounts;
+import org.ragwortpitch.edge.traffic.Fleet;
+import org.ragwortpitch.edge.traffic.Gateway;
+import org.ragwortpitch.edge.traffic.Gossiper;
+import org.ragwortpitch.edge.traffic.RepeatBudgets;
+import org.ragwortpitch.edge.traffic.TrafficParts;
+import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.ledger.WindowCounts;
+import org.ragwortpitch.logging.Event;
+
+/**
+ * A daemon: one thread for traffic, one for control, and what passes between them.
+ */
+public final class Edge implements AutoCloseable {
+
+    private static final Logger LOGGER = System.getLogger(Edge.class.getName());
+
+    private static final int CONNECT_MILLIS = 700;
+
+    /** How often daemons tell each other, in milliseconds, in a small fleet. */
+    private static final long GOSSIP_MILLIS = 200;
+
+    /** How often ended windows of usage are looked for, in milliseconds. */
+    private static final long USAGE_MILLIS = 500;
+
+    /** The part of the time to stop after which idle connections are closed; callers have new addresses by then. */
+    private static final double CLOSE_IDLE_SHARE = 0.7;
+
+    /** The part of the time to stop after which the process ends, whatever is under way. */
+    private static final double END_SHARE = 0.93;
+
+    /** The most addresses that a caller is told; more are of no use to one. */
+    private static final int MAX_ADDRESSES = 64;
+
+    /** The fewest addresses that a caller is told, so that losing one instance leaves others. */
+    private static final int MIN_ADDRESSES = 2;
+
+    private static final int READY = 200;
+
+    private static final int UNREADY = 503;
+
+    private final Closer closer = new Closer();
+    private final InstanceSettings settings;
+    private final Daemon self;
+    private final LongSupplier clockMillis;
+    private final LongSupplier wallMillis;
+    private final EdgeMetrics metrics = new EdgeMetrics();
+    private final EventLoop trafficLoop;
+    private final EventLoop controlLoop;
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final WindowCounts usage;
+    private final PeerView peers = new PeerView();
+    private final Accounts accounts;
+    private final Fleet fleet;
+    private final Gateway gateway;
+    private final Control control;
+    private FrontServer front;
+    private Collection<Endpoint> endpoints = List.of();
+    private boolean listed;
+
+    /**
+     * Makes a daemon; {@link #start} starts it.
+     *
+     * @param metricsPort where metrics are served
+     */
+    public Edge(InstanceSettings settings, LongSupplier clockMillis, LongSupplier wallMillis) {
+        this.settings = settings;
+        this.clockMillis = clockMillis;
+        this.wallMillis = wallMillis;
+        NioEventLoopGroup traffic = new NioEventLoopGroup(1);
+        NioEventLoopGroup controlGroup = new NioEventLoopGroup(1);
+        closer.add(() -> traffic.shutdownGracefully(0, 1, TimeUnit.SECONDS));
+        closer.add(() -> controlGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS));
+        trafficLoop = traffic.next();
+        controlLoop = controlGroup.next();
+        self = new Daemon(
+                settings.instance(),
+                wallMillis.getAsLong(),
+                settings.domain(),
+                settings.frontAddress(),
+                settings.ip() + ":" + settings.peerPort());
+        usage = new WindowCounts(settings.bounds().usageWindowMillis());
+        accounts = new Accounts(settings.firstStart());
+        ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_MILLIS, clockMillis);
+        fleet = new Fleet(connections::forget);
+        RepeatBudgets repeats = new RepeatBudgets(settings.bounds(), peers::count);
+        TrafficParts parts = new TrafficParts(
+                trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, repeats, usage, metrics);
+        gateway = new Gateway(parts, accounts, new HttpCaller(trafficLoop, connections));
+        ConnectionPool controlConnections = new ConnectionPool(controlLoop, CONNECT_MILLIS, clockMillis);
+        control = new Control(
+                controlLoop,
+                new HttpCaller(controlLoop, controlConnections),
+                settings,
+                self,
+                new ToTraffic(),
+                metrics,
+                clockMillis,
+                wallMillis);
+    }
+
+    /**
+     * Starts to listen and to follow the store.
+     *
+     * @param metricsPort where metrics are served
+     */
+    public void start(int metricsPort) {
+        front = closer.add(new FrontServer(
+                trafficLoop, socketAddress(settings.frontAddress()), gateway::limits, gateway, clockMillis));
+        closer.add(new SmallServer(trafficLoop, socketAddress(settings.readyAddress()), query -> readiness()));
+        closer.add(new SmallServer(trafficLoop, socketAddress(settings.directoryAddress()), this::directory));
+        closer.add(new SmallServer(
+                trafficLoop,
+                new InetSocketAddress(settings.ip(), metricsPort),
+                query -> SmallAnswer.text(READY, new String(metrics.scrape(), java.nio.charset.StandardCharsets.UTF_8))));
+        Gossiper[] gossiper = new Gossiper[1];
+        GossipSocket socket = closer.add(new GossipSocket(
+                trafficLoop, socketAddress(self.peerAddress()), gossip -> gossiper[0].heard(gossip)));
+        gossiper[0] = new Gossiper(self, socket, peers, fleet, accounts, this::isReady, clockMillis);
+        trafficLoop.scheduleWithFixedDelay(
+                gossiper[0]::tell, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
+        trafficLoop.scheduleWithFixedDelay(
+                () -> handUsageOver(wallMillis.getAsLong()), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
+        controlLoop.execute(control::start);
+        Event started = Event.of("started").with("born", self.bornMillis());
+        settings.summary().forEach(started::with);
+        started.info(LOGGER);
+    }
+
+    /**
+     * Stops gracefully: takes no new callers, answers what was asked, hands duties and counts over.
+     *
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public void drain() throws InterruptedException {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
+        Event.of("stopping").info(LOGGER);
+        long graceMillis = settings.bounds().graceMillis();
+        long stopMillis = clockMillis.getAsLong();
+        trafficLoop.execute(front::drain);
+        controlLoop.execute(() -> control.leave(() -> {}));
+        TimeUnit.MILLISECONDS.sleep((long) (graceMillis * CLOSE_IDLE_SHARE));
+        long end = stopMillis + (long) (graceMillis * END_SHARE);
+        trafficLoop.execute(() -> handUsageOver(Long.MAX_VALUE / 2));
+        do {
+            trafficLoop.execute(front::closeIdle);
+            TimeUnit.MILLISECONDS.sleep(100);
+        } while (clockMillis.getAsLong() < end && front.connections() > 0);
+        Event.of("stopped").with("connections", front.connections()).info(LOGGER);
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private boolean isReady() {
+        return !stopping.get() && listed && gateway.deployment().isPresent();
+    }
+
+    private SmallAnswer readiness() {
+        return isReady() ? SmallAnswer.text(READY, "ready\n") : SmallAnswer.text(UNREADY, "not ready\n");
+    }
+
+    private SmallAnswer directory(QueryStringDecoder query) {
+        List<String> domains = query.parameters().getOrDefault(DirectoryForm.DOMAIN_FIELD, List.of(""));
+        long now = clockMillis.getAsLong();
+        var domain = new org.ragwortpitch.identity.FailureDomain(domains.get(0));
+        List<Daemon> ready = new ArrayList<>(peers.ready(domain, now));
+        if (isReady()) {
+            ready.add(self);
+        }
+        List<Daemon> near =
+                ready.stream().filter(daemon -> daemon.domain().equals(domain)).toList();
+        List<Daemon> told = near.size() >= MIN_ADDRESSES ? near : ready;
+        if (told.isEmpty()) {
+            return SmallAnswer.text(UNREADY, "no daemon takes requests\n");
+        }
+        List<String> addresses =
+                told.stream().limit(MAX_ADDRESSES).map(Daemon::frontAddress).toList();
+        return SmallAnswer.json(DirectoryForm.answer(addresses, settings.bounds().maxTtlSeconds()));
+    }
+
+    private void handUsageOver(long endedBeforeMillis) {
+        SortedMap<Long, Map<AccountId, Long>> ended = usage.takeEnded(endedBeforeMillis);
+        if (!ended.isEmpty()) {
+            controlLoop.execute(() -> control.counted(ended));
+        }
+    }
+
+    private static InetSocketAddress socketAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    /**
+     * Brings what control hears to the traffic thread.
+     */
+    private final class ToTraffic implements ControlListener {
+
+        @Override
+        public void onDeployment(Deployment deployment) {
+            trafficLoop.execute(() -> {
+                gateway.apply(deployment);
+                fleet.apply(endpoints, deployment);
+                metrics.version(deployment.version());
+            });
+        }
+
+        @Override
+        public void onEndpoints(Collection<Endpoint> now) {
+            trafficLoop.execute(() -> {
+                endpoints = now;
+                listed = true;
+                gateway.deployment().ifPresent(deployment -> fleet.apply(now, deployment));
+            });
+        }
+
+        @Override
+        public void onDaemons(Collection<Daemon> daemons) {
+            trafficLoop.execute(() -> peers.apply(daemons));
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/Main.java
@@ -0,0 +1,52 @@
+package org.ragwortpitch.edge;
+
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.ragwortpitch.contract.InstanceFile;
+import org.ragwortpitch.edge.log.QueuedLog;
+import org.ragwortpitch.logging.LogFormat;
+import org.ragwortpitch.settings.InvalidSettingException;
+
+/**
+ * Runs a daemon on the users' platform until it is told to stop.
+ */
+public final class Main {
+
+    private static final int WRONG_SETTINGS = 2;
+
+    /** Where metrics are served; the deploy file names it too. */
+    private static final int METRICS_PORT = 7615;
+
+    private Main() {}
+
+    /**
+     * Starts a daemon with the settings file that the environment names.
+     */
+    public static void main(String[] arguments) {
+        QueuedLog.install(new LogFormat(), System.out);
+        String file = System.getenv(InstanceFile.VARIABLE);
+        if (file == null) {
+            System.err.println(InstanceFile.VARIABLE + " is not set: let it name the platform's settings file");
+            System.exit(WRONG_SETTINGS);
+        }
+        LongSupplier clockMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        try {
+            Edge edge = new Edge(InstanceFile.read(Path.of(file)), clockMillis, System::currentTimeMillis);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(edge), "shutdown"));
+            edge.start(METRICS_PORT);
+        } catch (InvalidSettingException exception) {
+            System.err.println(exception.getMessage());
+            System.exit(WRONG_SETTINGS);
+        }
+    }
+
+    private static void stop(Edge edge) {
+        try {
+            edge.drain();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -0,0 +1,222 @@
+package org.ragwortpitch.edge.control;
+
+import io.netty.channel.EventLoop;
+import java.lang.System.Logger;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.ragwortpitch.contract.DaemonForm;
+import org.ragwortpitch.contract.DeploymentForm;
+import org.ragwortpitch.contract.FormException;
+import org.ragwortpitch.contract.InstanceSettings;
+import org.ragwortpitch.contract.KeyedRecord;
+import org.ragwortpitch.contract.StoreForm;
+import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.deployment.Deployment;
+import org.ragwortpitch.edge.directory.EdgeMetrics;
+import org.ragwortpitch.edge.http.HttpCaller;
+import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.logging.Event;
+
+/**
+ * Follows the store for the rest of the daemon, lists the daemon there, and carries duties out. Its methods may be
+ * called on the control thread only.
+ */
+public final class Control {
+
+    private static final Logger LOGGER = System.getLogger(Control.class.getName());
+
+    /** How long the store waits for a change of configuration or daemons, in milliseconds; each call has a price. */
+    private static final long WAIT_MILLIS = 10_000;
+
+    /** The pause between reads of the endpoints' entries, in milliseconds; a third of the time to act on one. */
+    private static final long ENDPOINTS_PACE_MILLIS = 600;
+
+    private static final long RETRY_MILLIS = 500;
+
+    private final EventLoop loop;
+    private final InstanceSettings settings;
+    private final Daemon self;
+    private final ControlListener listener;
+    private final StoreClient store;
+    private final EndpointBook endpoints = new EndpointBook();
+    private final Map<InstanceId, Daemon> daemons = new HashMap<>();
+    private final UsageDesk usage;
+    private final DutyDesk duties;
+    private long version = -1;
+
+    /**
+     * Prepares to follow the store.
+     */
+    public Control(
+            EventLoop loop,
+            HttpCaller caller,
+            InstanceSettings settings,
+            Daemon self,
+            ControlListener listener,
+            EdgeMetrics metrics,
+            LongSupplier clockMillis,
+            LongSupplier wallMillis) {
+        this.loop = loop;
+        this.settings = settings;
+        this.self = self;
+        this.listener = listener;
+        this.store = new StoreClient(caller, settings.storeAddress(), clockMillis, metrics);
+        String life = self.id().value() + "-" + self.bornMillis();
+        this.usage = new UsageDesk(loop, store, life);
+        this.duties = new DutyDesk(
+                loop,
+                store,
+                life,
+                new LeaseClock(clockMillis, wallMillis),
+                settings.bounds().leaseMillis(),
+                duty(caller, wallMillis));
+    }
+
+    private Duty duty(HttpCaller caller, LongSupplier wallMillis) {
+        if (settings.cloud().isEmpty()) {
+            return (token, refused) -> {};
+        }
+        PlatformCalls platform = new PlatformCalls(caller, settings.cloud().get());
+        UsageReporter reporter =
+                new UsageReporter(store, platform, self.id(), settings.bounds().usageWindowMillis());
+        return (token, refused) -> reporter.step(token, wallMillis.getAsLong(), refused);
+    }
+
+    /**
+     * Begins to follow the store.
+     */
+    public void start() {
+        list();
+        follow(StoreForm.OPERATORS_TOPIC, 0, WAIT_MILLIS, this::deployments);
+        follow(StoreForm.ENDPOINTS_TOPIC, ENDPOINTS_PACE_MILLIS, 0, this::endpoints);
+        follow(DaemonForm.TOPIC, 0, WAIT_MILLIS, this::daemons);
+        loop.scheduleWithFixedDelay(
+                this::dropMissing, RETRY_MILLIS, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        duties.start();
+    }
+
+    /**
+     * Writes what this daemon counted.
+     */
+    public void counted(SortedMap<Long, Map<AccountId, Long>> windows) {
+        usage.counted(windows);
+    }
+
+    /**
+     * Gives duties up.
+     */
+    public void leave(Runnable done) {
+        duties.leave(done);
+    }
+
+    private void list() {
+        byte[] record = StoreForm.keyed(self.id().value(), DaemonForm.encode(self));
+        store.call(
+                StoreForm.append(DaemonForm.TOPIC, List.of(record)),
+                0,
+                answer -> {
+                    if (!answer.isOk()) {
+                        relist("status " + answer.status());
+                    }
+                },
+                this::relist);
+    }
+
+    private void relist(String reason) {
+        Event.of("daemon-not-listed").with("reason", reason).info(LOGGER);
+        loop.schedule(this::list, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void follow(String topic, long paceMillis, long waitMillis, RecordConsumer consumer) {
+        new TopicFollower(loop, store, topic, paceMillis, waitMillis, new TopicListener() {
+                    @Override
+                    public void onLoaded(List<KeyedRecord> records) {
+                        consumer.accept(records, true);
+                    }
+
+                    @Override
+                    public void onRecords(List<KeyedRecord> records) {
+                        consumer.accept(records, false);
+                    }
+                })
+                .start();
+    }
+
+    private void deployments(List<KeyedRecord> records, boolean all) {
+        for (KeyedRecord entry : records) {
+            if (!StoreForm.CONFIGURATION_KEY.equals(entry.key()) || entry.value().length == 0) {
+                continue;
+            }
+            try {
+                Deployment deployment = DeploymentForm.decode(entry.value());
+                if (deployment.version() > version) {
+                    version = deployment.version();
+                    Event.of("deployment")
+                            .with("version", version)
+                            .with("offset", entry.offset())
+                            .info(LOGGER);
+                    listener.onDeployment(deployment);
+                }
+            } catch (FormException exception) {
+                Event.of("deployment-unreadable")
+                        .with("offset", entry.offset())
+                        .with("in-force", version)
+                        .with("reason", exception.getMessage())
+                        .warn(LOGGER);
+            }
+        }
+    }
+
+    private void endpoints(List<KeyedRecord> records, boolean all) {
+        if (all) {
+            endpoints.loaded(records, store.reachedForMillis());
+        } else {
+            endpoints.changed(records, store.reachedForMillis());
+        }
+        listener.onEndpoints(endpoints.endpoints());
+    }
+
+    private void dropMissing() {
+        if (endpoints.dropMissing(store.reachedForMillis())) {
+            listener.onEndpoints(endpoints.endpoints());
+        }
+    }
+
+    private void daemons(List<KeyedRecord> records, boolean all) {
+        if (all) {
+            daemons.clear();
+        }
+        for (KeyedRecord entry : records) {
+            InstanceId id = new InstanceId(entry.key());
+            if (entry.value().length == 0) {
+                daemons.remove(id);
+                continue;
+            }
+            try {
+                daemons.put(id, DaemonForm.decode(entry.key(), entry.value()));
+            } catch (FormException exception) {
+                Event.of("daemon-unreadable")
+                        .with("daemon", id)
+                        .with("reason", exception.getMessage())
+                        .warn(LOGGER);
+            }
+        }
+        listener.onDaemons(daemons.values().stream()
+                .filter(daemon -> !daemon.id().equals(self.id()))
+                .toList());
+    }
+
+    /**
+     * Takes records over.
+     */
+    @FunctionalInterface
+    private interface RecordConsumer {
+
+        void accept(List<KeyedRecord> records, boolean all);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -0,0 +1,121 @@
+package org.ragwortpitch.edge.directory;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Locale;
+import org.ragwortpitch.deployment.Route;
+import org.ragwortpitch.identity.PoolId;
+
+/**
+ * The metrics of a daemon. Labels are bounded: kinds, outcomes and statuses, never routes, accounts or endpoints.
+ */
+public final class EdgeMetrics {
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private static final double[] BOUNDS_SECONDS = {
+        0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2, 3, 4, 6, 8
+    };
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Histogram answers = histogram("ragwortpitch_answer_seconds", "Time of a whole answer");
+    private final Histogram firstEvents =
+            histogram("ragwortpitch_first_event_seconds", "Time until the first event of a stream");
+    private final Histogram endpoints =
+            histogram("ragwortpitch_endpoint_seconds", "Time that a plain service took for an answer");
+    private final Counter requests = Counter.builder()
+            .name("ragwortpitch_requests_total")
+            .help("Requests by kind and outcome")
+            .labelNames("kind", "outcome")
+            .register(registry);
+    private final Counter refusals = Counter.builder()
+            .name("ragwortpitch_refusals_total")
+            .help("Requests refused before they were let in, by status")
+            .labelNames("status")
+            .register(registry);
+    private final Counter losses = Counter.builder()
+            .name("ragwortpitch_dependency_losses_total")
+            .help("How often something that the daemon needs was lost, by what it was")
+            .labelNames("dependency")
+            .register(registry);
+    private final Gauge version = Gauge.builder()
+            .name("ragwortpitch_deployment_version")
+            .help("The version of the configuration in force")
+            .register(registry);
+
+    /**
+     * Notes an answer.
+     */
+    public void answered(Route route, String outcome, long millis) {
+        requests.labelValues(kind(route), outcome).inc();
+        answers.labelValues(kind(route)).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Notes a stream's first event.
+     */
+    public void firstEvent(Route route, long millis) {
+        firstEvents.labelValues(kind(route)).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Notes how long a plain service took.
+     */
+    public void endpointAnswered(PoolId pool, long millis) {
+        endpoints.labelValues("service").observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Notes a refusal.
+     */
+    public void refused(int status) {
+        refusals.labelValues(Integer.toString(status)).inc();
+    }
+
+    /**
+     * Notes that a dependency was lost.
+     */
+    public void lost(String dependency) {
+        losses.labelValues(dependency).inc();
+    }
+
+    /**
+     * Notes the version in force.
+     */
+    public void version(long inForce) {
+        version.set(inForce);
+    }
+
+    /**
+     * Writes all metrics as text.
+     */
+    public byte[] scrape() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+        return out.toByteArray();
+    }
+
+    private static String kind(Route route) {
+        return route.kind().name().toLowerCase(Locale.ROOT);
+    }
+
+    private Histogram histogram(String name, String help) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .labelNames("kind")
+                .classicOnly()
+                .classicUpperBounds(BOUNDS_SECONDS)
+                .register(registry);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Where callers are told to connect, readiness and metrics.
+ */
+package org.ragwortpitch.edge.directory;
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerRequest.java
@@ -0,0 +1,24 @@
+package org.ragwortpitch.edge.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * A whole request of a caller.
+ *
+ * @param method        the method
+ * @param target        path and query, as sent
+ * @param headers       the headers, as sent
+ * @param body          the body
+ * @param arrivedMillis when its head was read, of the monotonic clock
+ */
+public record CallerRequest(String method, String target, HttpHeaders headers, ByteBuf body, long arrivedMillis) {
+
+    /**
+     * Tells the path without the query.
+     */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections of callers.
+ */
+package org.ragwortpitch.edge.front;
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -0,0 +1,198 @@
+package org.ragwortpitch.edge.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.ragwortpitch.contract.Headers;
+
+/**
+ * One connection, one request at a time. An answer that bears another attempt's id belongs to an earlier request and is
+ * passed over; bytes that come while nothing is asked end the connection. Confined to the pool's thread.
+ */
+final class OutboundConnection extends ChannelInboundHandlerAdapter {
+
+    private static final int FIRST_FINAL_STATUS = 200;
+
+    private final ConnectionPool pool;
+    private final String address;
+    private Channel channel;
+    private ResponseListener listener;
+    private String attemptId = "";
+    private boolean passingOver;
+    private boolean written;
+    private boolean reusable;
+    private boolean framed;
+    private boolean reset;
+    private long idleLimitMillis = Long.MAX_VALUE;
+    private long idleSinceMillis;
+
+    OutboundConnection(ConnectionPool pool, String address) {
+        this.pool = pool;
+        this.address = address;
+    }
+
+    String address() {
+        return address;
+    }
+
+    /**
+     * Tells whether the other side is expected to still read what is sent.
+     *
+     * @param maxIdleMillis how long the connection may have been idle
+     */
+    boolean isFresh(long maxIdleMillis, long nowMillis) {
+        long idleMillis = nowMillis - idleSinceMillis;
+        return channel.isActive() && idleMillis < Math.min(idleLimitMillis, maxIdleMillis);
+    }
+
+    void opened(Channel open) {
+        channel = open;
+    }
+
+    Cancellation send(OutboundRequest request, ResponseListener answers) {
+        listener = answers;
+        attemptId = request.attemptId();
+        written = false;
+        passingOver = false;
+        reusable = true;
+        channel.writeAndFlush(message(request)).addListener(done -> {
+            written = done.isSuccess();
+            if (!done.isSuccess() && listener == answers) {
+                fail("write failed: " + done.cause());
+            }
+        });
+        return () -> {
+            if (listener == answers) {
+                listener = null;
+                channel.close();
+            }
+        };
+    }
+
+    void close() {
+        listener = null;
+        channel.close();
+    }
+
+    private FullHttpRequest message(OutboundRequest request) {
+        ByteBuf body = request.body().retainedDuplicate();
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(request.method()),
+                request.target(),
+                body,
+                request.headers().copy(),
+                EmptyHttpHeaders.INSTANCE);
+        if (!message.headers().contains(HttpHeaderNames.HOST)) {
+            message.headers().set(HttpHeaderNames.HOST, address);
+        }
+        if (body.isReadable() || "POST".equals(request.method())) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        return message;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            HttpObject part = (HttpObject) message;
+            if (listener == null) {
+                channel.close();
+            } else if (part.decoderResult().isFailure()) {
+                fail("not an answer: " + part.decoderResult().cause());
+            } else {
+                read(part);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(HttpObject part) {
+        if (part instanceof HttpResponse head) {
+            readHead(head);
+        }
+        if (part instanceof HttpContent content && listener != null) {
+            readContent(content);
+        }
+    }
+
+    private void readHead(HttpResponse head) {
+        String id = head.headers().get(Headers.ATTEMPT);
+        boolean stray = id != null && !attemptId.isEmpty() && !id.equals(attemptId);
+        passingOver = stray || head.status().code() < FIRST_FINAL_STATUS;
+        if (passingOver) {
+            return;
+        }
+        framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        reusable &= framed && HttpUtil.isKeepAlive(head);
+        idleLimitMillis = KeepAlive.limitMillis(head.headers().get(KeepAlive.HEADER));
+        listener.onHead(head.status().code(), head.headers());
+    }
+
+    private void readContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (passingOver) {
+            passingOver = !last;
+            return;
+        }
+        if (content.content().isReadable()) {
+            listener.onContent(content.content());
+        }
+        if (last && listener != null) {
+            end();
+        }
+    }
+
+    private void end() {
+        if (reset) {
+            fail("connection reset in an answer without a length");
+            return;
+        }
+        ResponseListener done = listener;
+        listener = null;
+        // An early answer leaves the rest of the request in flight; the connection can't carry another one yet.
+        if (reusable && written && channel.isActive()) {
+            idleSinceMillis = pool.nowMillis();
+            pool.release(this);
+        } else {
+            channel.close();
+        }
+        done.onEnd(framed);
+    }
+
+    private void fail(String reason) {
+        ResponseListener broken = listener;
+        listener = null;
+        channel.close();
+        if (broken != null) {
+            broken.onBroken(Breakage.sent(reason));
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        reset = true;
+        fail(String.valueOf(cause.getMessage()));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        pool.closed(this);
+        fail("connection closed before the answer's end");
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections to endpoints and to the platform.
+ */
+package org.ragwortpitch.edge.http;
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Logs that never block.
+ */
+package org.ragwortpitch.edge.log;
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon on the users' platform.
+ */
+package org.ragwortpitch.edge;
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -0,0 +1,93 @@
+package org.ragwortpitch.edge.peer;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.identity.InstanceId;
+
+/**
+ * The other daemons: which are listed, and when each was last heard of. Confined to the traffic thread.
+ */
+public final class PeerView {
+
+    /** A daemon that wasn't heard of for this long, in milliseconds, gets no callers: several lost datagrams. */
+    private static final long SILENT_MILLIS = 1_500;
+
+    private final Map<InstanceId, Heard> heard = new HashMap<>();
+    private Map<InstanceId, Daemon> listed = new HashMap<>();
+
+    /**
+     * Takes a new list over.
+     */
+    public void apply(Collection<Daemon> daemons) {
+        Map<InstanceId, Daemon> next = new HashMap<>();
+        daemons.forEach(daemon -> next.put(daemon.id(), daemon));
+        listed = next;
+    }
+
+    /**
+     * Notes what a daemon said.
+     *
+     * @return whether it is the newest word of that daemon's present life
+     */
+    public boolean hear(InstanceId peer, long bornMillis, long sequence, boolean ready, long nowMillis) {
+        Heard before = heard.get(peer);
+        if (before != null
+                && (before.bornMillis() > bornMillis
+                        || before.bornMillis() == bornMillis && before.sequence() >= sequence)) {
+            return false;
+        }
+        heard.put(peer, new Heard(bornMillis, sequence, ready, nowMillis));
+        return true;
+    }
+
+    /**
+     * Tells the other daemons that are listed.
+     */
+    public Collection<Daemon> others() {
+        return listed.values();
+    }
+
+    /**
+     * Counts the daemons that are listed, with this one.
+     */
+    public int count() {
+        return listed.size() + 1;
+    }
+
+    /**
+     * Counts the daemons that are heard of, with this one.
+     */
+    public int heardCount(long nowMillis) {
+        return 1 + (int) listed.keySet().stream()
+                .filter(id -> isHeard(id, nowMillis))
+                .count();
+    }
+
+    /**
+     * Tells whether a daemon was heard of lately.
+     */
+    public boolean isHeard(InstanceId peer, long nowMillis) {
+        Heard last = heard.get(peer);
+        return last != null && nowMillis - last.atMillis() <= SILENT_MILLIS;
+    }
+
+    /**
+     * Tells the daemons that take callers, those of a failure domain first.
+     */
+    public List<Daemon> ready(FailureDomain domain, long nowMillis) {
+        return listed.values().stream()
+                .filter(daemon -> isHeard(daemon.id(), nowMillis) && heard.get(daemon.id()).ready())
+                .sorted((one, other) -> Boolean.compare(
+                        other.domain().equals(domain), one.domain().equals(domain)))
+                .toList();
+    }
+
+    /**
+     * The last word of a daemon.
+     */
+    private record Heard(long bornMillis, long sequence, boolean ready, long atMillis) {}
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What daemons tell each other.
+ */
+package org.ragwortpitch.edge.peer;
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -0,0 +1,83 @@
+package org.ragwortpitch.edge.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.EngineSpec;
+import org.ragwortpitch.deployment.PromptPart;
+import org.ragwortpitch.health.HealthScore;
+import org.ragwortpitch.placement.Engine;
+
+/**
+ * What this daemon knows of one life of an endpoint.
+ */
+final class EndpointState {
+
+    /** Parts that are told to other daemons at once, at most; keeps a datagram well below its limit. */
+    private static final int MAX_SENT_PARTS = 64;
+
+    private final List<PromptPart> sentParts = new ArrayList<>();
+    private final HealthScore health = new HealthScore();
+    private final Engine engine;
+    private Endpoint endpoint;
+    private int running;
+
+    EndpointState(Endpoint endpoint, Optional<EngineSpec> spec) {
+        this.endpoint = endpoint;
+        this.engine = spec.map(known -> new Engine(endpoint, known)).orElse(null);
+    }
+
+    void listed(Endpoint listed) {
+        endpoint = listed;
+        if (engine != null) {
+            engine.listed(listed);
+        }
+    }
+
+    Endpoint endpoint() {
+        return endpoint;
+    }
+
+    HealthScore health() {
+        return health;
+    }
+
+    /**
+     * Tells the engine; null for plain services.
+     */
+    Engine engine() {
+        return engine;
+    }
+
+    /**
+     * Notes that an engine gets a prompt.
+     */
+    void sentParts(List<PromptPart> parts) {
+        engine.cache().sent(parts);
+        if (sentParts.size() < MAX_SENT_PARTS) {
+            sentParts.addAll(parts);
+        }
+    }
+
+    /**
+     * Takes the parts that were sent since the last time, to tell other daemons.
+     */
+    List<PromptPart> takeSentParts() {
+        List<PromptPart> taken = List.copyOf(sentParts);
+        sentParts.clear();
+        return taken;
+    }
+
+    int running() {
+        return running;
+    }
+
+    void begin() {
+        running++;
+    }
+
+    void end() {
+        running--;
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -0,0 +1,381 @@
+package org.ragwortpitch.edge.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.lang.System.Logger;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.ragwortpitch.contract.EngineForm;
+import org.ragwortpitch.contract.Headers;
+import org.ragwortpitch.deployment.AccountSpec;
+import org.ragwortpitch.deployment.Generation;
+import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.edge.http.HttpCaller;
+import org.ragwortpitch.edge.http.OutboundRequest;
+import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.placement.Engine;
+import org.ragwortpitch.placement.EngineChooser;
+import org.ragwortpitch.placement.EngineEstimate;
+import org.ragwortpitch.placement.Placement;
+
+/**
+ * Has engines answer a request with a stream: reads the prompt where that is quickest, passes whole events on in order,
+ * and goes on at another engine where the route lets streams be resumed.
+ */
+final class EngineRun implements Cancellation, StreamListener {
+
+    private static final Logger LOGGER = System.getLogger(EngineRun.class.getName());
+
+    private static final int BAD_GATEWAY = 502;
+
+    private static final int UNAVAILABLE = 503;
+
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    /** How often a request is offered to engines that refuse it unrun; further offers rarely find a free place. */
+    private static final int MAX_SENDS = 5;
+
+    /** Retry-After of a refusal, in milliseconds: about half of a usual generation, after which places are free. */
+    private static final long RETRY_AFTER_MILLIS = 400;
+
+    /** Callers leave a stream that is silent this many times its target, but no sooner than two seconds. */
+    private static final int PATIENCE_TARGETS = 4;
+
+    private static final long LEAST_PATIENCE_MILLIS = 2_000;
+
+    /** An engine is given up for another after this part of the callers' patience without an event. */
+    private static final double SILENCE_SHARE = 0.6;
+
+    /** How long freeing unused memory may take, in milliseconds; it lapses by itself a little later. */
+    private static final long FREE_MILLIS = 1_000;
+
+    private static final int LEAST_URGENT = 9;
+
+    private final TrafficParts parts;
+    private final EngineChooser chooser;
+    private final HttpCaller caller;
+    private final Exchange exchange;
+    private final PoolId pool;
+    private final Generation generation;
+    private final Set<EndpointId> tried = new HashSet<>();
+    private Cancellation current = Cancellation.NONE;
+    private ScheduledFuture<?> silence;
+    private int sends;
+    private int ranAt;
+    private long lastEvent;
+    private Placement placement;
+    private long placedMillis;
+
+    EngineRun(
+            TrafficParts parts,
+            EngineChooser chooser,
+            HttpCaller caller,
+            Exchange exchange,
+            PoolId pool,
+            Generation generation) {
+        this.parts = parts;
+        this.chooser = chooser;
+        this.caller = caller;
+        this.exchange = exchange;
+        this.pool = pool;
+        this.generation = generation;
+        this.lastEvent = firstEvent(exchange);
+    }
+
+    private static long firstEvent(Exchange exchange) {
+        String sent = exchange.request().headers().get(Headers.LAST_EVENT);
+        return sent != null && sent.matches("\\d{1,18}") ? Long.parseLong(sent) : StreamEvent.NO_ID;
+    }
+
+    void start() {
+        long now = now();
+        ScheduledFuture<?> deadline = parts.loop()
+                .schedule(this::timedOut, Math.max(1, exchange.remainingMillis(now)), TimeUnit.MILLISECONDS);
+        exchange.whenDone(() -> {
+            deadline.cancel(false);
+            stopSilence();
+            current.cancel();
+        });
+        place(now);
+    }
+
+    @Override
+    public void cancel() {
+        exchange.callerLeft();
+    }
+
+    private void place(long now) {
+        List<EndpointState> usable = parts.fleet().usable(pool, tried, now);
+        List<Engine> engines = usable.stream().map(EndpointState::engine).toList();
+        Optional<Placement> choice = chooser.choose(generation, engines);
+        if (choice.isEmpty()) {
+            giveUp("no engine that makes tokens is left of " + usable.size());
+            return;
+        }
+        placement = choice.get();
+        long patience = Math.min(exchange.remainingMillis(now), patienceMillis());
+        if (ranAt == 0 && placement.firstMillis() > patience) {
+            giveUp("the first event would take " + (long) placement.firstMillis() + " of " + patience + " ms");
+            return;
+        }
+        placedMillis = now;
+        logPlacement();
+        if (placement.reader().isPresent()) {
+            read(placement.reader().get(), now);
+        } else {
+            decode("", now);
+        }
+    }
+
+    private void read(Engine reader, long now) {
+        EndpointState state = parts.fleet().find(reader.endpoint().id());
+        state.health().sent(now);
+        int uncached = EngineEstimate.uncachedTokens(reader, generation);
+        PromptRead read = new PromptRead(
+                state, generation.promptTokens(), uncached, handle -> handedOver(state, handle), reason -> {
+                    state.health().failed(false, now());
+                    readFailed(reason);
+                });
+        current = read;
+        state.sentParts(generation.parts());
+        watchSilence();
+        read.start(parts, urgent(exchange.outbound(state, now)));
+    }
+
+    private void handedOver(EndpointState reader, String handle) {
+        if (exchange.isDone()) {
+            free(reader, handle);
+            return;
+        }
+        reader.health().succeeded();
+        decode(EngineForm.memoryFrom(reader.endpoint().address(), handle), now());
+    }
+
+    private void readFailed(String reason) {
+        if (exchange.isDone()) {
+            return;
+        }
+        tried.add(placement.reader().orElseThrow().endpoint().id());
+        sends++;
+        again(reason, true);
+    }
+
+    private void free(EndpointState reader, String handle) {
+        caller.call(
+                reader.endpoint().address(),
+                EngineForm.free(handle),
+                FREE_MILLIS,
+                answer -> {},
+                breakage -> Event.of("free-failed")
+                        .with("request", exchange.attemptId())
+                        .with("reason", breakage.reason())
+                        .info(LOGGER));
+    }
+
+    private void decode(String memoryFrom, long now) {
+        Engine decoder = placement.decoder();
+        EndpointState state = parts.fleet().find(decoder.endpoint().id());
+        if (state == null || state.endpoint().leaving()) {
+            tried.add(decoder.endpoint().id());
+            place(now);
+            return;
+        }
+        int uncached = memoryFrom.isEmpty() ? EngineEstimate.uncachedTokens(decoder, generation) : 1;
+        state.health().sent(now);
+        sends++;
+        OutboundRequest request = urgent(exchange.outbound(state, now));
+        if (!memoryFrom.isEmpty()) {
+            request.headers().set(Headers.MEMORY_FROM, memoryFrom);
+        }
+        if (lastEvent != StreamEvent.NO_ID) {
+            request.headers().set(Headers.LAST_EVENT, lastEvent);
+        }
+        StreamRun run = new StreamRun(state, generation.countedTokens(), uncached, this);
+        current = run;
+        state.sentParts(generation.parts());
+        watchSilence();
+        run.start(parts, request);
+    }
+
+    private OutboundRequest urgent(OutboundRequest request) {
+        int urgency = exchange.account()
+                .map(AccountSpec::urgency)
+                .filter(java.util.OptionalInt::isPresent)
+                .map(java.util.OptionalInt::getAsInt)
+                .orElse(exchange.route().urgency());
+        request.headers().set(Headers.URGENCY, Math.max(0, Math.min(LEAST_URGENT, urgency)));
+        return request;
+    }
+
+    @Override
+    public void onEvents(StreamRun run, List<StreamEvent> events) {
+        if (exchange.isDone()) {
+            return;
+        }
+        if (!exchange.isBegun()) {
+            run.target().health().succeeded();
+            ranAt = Math.max(1, ranAt);
+            exchange.ran();
+            exchange.begin(200, run.headers());
+            parts.metrics().firstEvent(exchange.route(), now() - exchange.request().arrivedMillis());
+        }
+        watchSilence();
+        for (StreamEvent event : events) {
+            if (event.id() == StreamEvent.NO_ID || event.id() > lastEvent) {
+                lastEvent = Math.max(lastEvent, event.id());
+                exchange.answer().piece(Unpooled.wrappedBuffer(event.bytes()));
+            }
+        }
+    }
+
+    @Override
+    public void onComplete(StreamRun run, byte[] rest) {
+        if (exchange.isDone()) {
+            return;
+        }
+        if (!run.gotEvents() && !exchange.isBegun()) {
+            onOther(run, 200, run.headers(), Unpooled.wrappedBuffer(rest));
+            return;
+        }
+        if (rest.length > 0) {
+            exchange.answer().piece(Unpooled.wrappedBuffer(rest));
+        }
+        exchange.endStream();
+    }
+
+    @Override
+    public void onRefused(StreamRun run, int status) {
+        if (exchange.isDone()) {
+            return;
+        }
+        tried.add(run.target().endpoint().id());
+        again("refused unrun with " + status, true);
+    }
+
+    @Override
+    public void onOther(StreamRun run, int status, HttpHeaders headers, ByteBuf body) {
+        if (exchange.isDone()) {
+            return;
+        }
+        run.target().health().failed(false, now());
+        ranAt++;
+        exchange.ran();
+        if (exchange.isBegun() || mayRunElsewhere()) {
+            tried.add(run.target().endpoint().id());
+            again("answered " + status, true);
+        } else {
+            exchange.pass(status, headers, body);
+        }
+    }
+
+    @Override
+    public void onBroken(StreamRun run, boolean sent, String reason) {
+        run.target().health().failed(!sent, now());
+        if (exchange.isDone()) {
+            return;
+        }
+        tried.add(run.target().endpoint().id());
+        if (sent) {
+            ranAt++;
+            exchange.ran();
+        }
+        if (sent && !mayRunElsewhere()) {
+            exchange.fail(BAD_GATEWAY, "broken: " + reason);
+        } else {
+            again("broken: " + reason, sent);
+        }
+    }
+
+    private boolean mayRunElsewhere() {
+        return exchange.route().resumable() && ranAt < exchange.route().maxEndpoints();
+    }
+
+    private void again(String reason, boolean arrived) {
+        long now = now();
+        boolean allowed = sends < MAX_SENDS
+                && exchange.remainingMillis(now) > 0
+                && (!arrived || parts.repeats().tryRepeat(pool, now));
+        Event.of("send-again")
+                .with("request", exchange.attemptId())
+                .with("reason", reason)
+                .with("after", lastEvent)
+                .with("allowed", allowed)
+                .info(LOGGER);
+        if (allowed) {
+            place(now);
+        } else {
+            giveUp(reason);
+        }
+    }
+
+    private void giveUp(String reason) {
+        if (ranAt == 0) {
+            exchange.refuse(UNAVAILABLE, RETRY_AFTER_MILLIS, reason);
+        } else {
+            exchange.fail(BAD_GATEWAY, reason);
+        }
+    }
+
+    private void timedOut() {
+        exchange.fail(GATEWAY_TIMEOUT, "no whole answer in time");
+    }
+
+    private long patienceMillis() {
+        return Math.max(LEAST_PATIENCE_MILLIS, (long) PATIENCE_TARGETS * exchange.route().targetMillis());
+    }
+
+    /**
+     * Gives the present engine up if nothing comes of it, where another one may go on.
+     */
+    private void watchSilence() {
+        stopSilence();
+        silence = parts.loop()
+                .schedule(this::silent, (long) (SILENCE_SHARE * patienceMillis()), TimeUnit.MILLISECONDS);
+    }
+
+    private void stopSilence() {
+        if (silence != null) {
+            silence.cancel(false);
+        }
+    }
+
+    private void silent() {
+        if (current instanceof StreamRun run && !exchange.isDone()) {
+            boolean elsewhere = exchange.route().resumable()
+                    && ranAt + 1 < exchange.route().maxEndpoints();
+            run.target().health().failed(true, now());
+            if (elsewhere) {
+                run.cancel();
+                onBroken(run, true, "silent");
+            }
+        } else if (current instanceof PromptRead read && !exchange.isDone()) {
+            read.cancel();
+            read.onBroken(org.ragwortpitch.edge.http.Breakage.sent("silent"));
+        }
+    }
+
+    private void logPlacement() {
+        Engine decoder = placement.decoder();
+        Event.of("placed")
+                .with("request", exchange.attemptId())
+                .with("decoder", decoder.endpoint().id())
+                .with("reader", placement.reader().map(reader -> reader.endpoint().id().value()).orElse("-"))
+                .with("estimate-millis", (long) placement.firstMillis())
+                .with("prompt", generation.promptTokens())
+                .with("cached", decoder.cache().keptTokens(generation.parts()))
+                .with("running", decoder.totalRunning())
+                .with("reading", decoder.totalReadingTokens())
+                .info(LOGGER);
+    }
+
+    private long now() {
+        return parts.clockMillis().getAsLong();
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -0,0 +1,222 @@
+package org.ragwortpitch.edge.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.lang.System.Logger;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Optional;
+import org.ragwortpitch.contract.Headers;
+import org.ragwortpitch.deployment.AccountSpec;
+import org.ragwortpitch.deployment.Route;
+import org.ragwortpitch.edge.front.CallerAnswer;
+import org.ragwortpitch.edge.front.CallerRequest;
+import org.ragwortpitch.edge.http.OutboundRequest;
+import org.ragwortpitch.logging.Event;
+
+/**
+ * A request that was let in: what it is, how long it has, and its answer, which ends it. Confined to the traffic thread.
+ */
+final class Exchange {
+
+    private static final Logger LOGGER = System.getLogger(Exchange.class.getName());
+
+    /** An answer that starts this much before the caller's deadline still reaches it, in milliseconds. */
+    private static final long ANSWER_MARGIN_MILLIS = 15;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final TrafficParts parts;
+    private final CallerRequest request;
+    private final CallerAnswer answer;
+    private final String attemptId;
+    private final Route route;
+    private final Optional<AccountSpec> account;
+    private final long deadlineMillis;
+    private final boolean endsAtRoute;
+    private String path = "";
+    private int sends;
+    private boolean counted;
+    private boolean begun;
+    private boolean done;
+    private Runnable whenDone = () -> {};
+
+    Exchange(
+            TrafficParts parts,
+            CallerRequest request,
+            CallerAnswer answer,
+            String attemptId,
+            Route route,
+            Optional<AccountSpec> account,
+            long callerMillis) {
+        this.parts = parts;
+        this.request = request;
+        this.answer = answer;
+        this.attemptId = attemptId;
+        this.route = route;
+        this.account = account;
+        this.endsAtRoute = callerMillis - ANSWER_MARGIN_MILLIS > route.timeoutMillis();
+        this.deadlineMillis = request.arrivedMillis()
+                + Math.min(callerMillis - ANSWER_MARGIN_MILLIS, route.timeoutMillis());
+    }
+
+    Route route() {
+        return route;
+    }
+
+    Optional<AccountSpec> account() {
+        return account;
+    }
+
+    String attemptId() {
+        return attemptId;
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    CallerAnswer answer() {
+        return answer;
+    }
+
+    boolean isDone() {
+        return done;
+    }
+
+    boolean isBegun() {
+        return begun;
+    }
+
+    long remainingMillis(long nowMillis) {
+        return deadlineMillis - nowMillis;
+    }
+
+    /**
+     * Runs something once the exchange has ended, however it does.
+     */
+    void whenDone(Runnable action) {
+        whenDone = action;
+    }
+
+    /**
+     * Makes the request for an endpoint.
+     */
+    OutboundRequest outbound(EndpointState target, long nowMillis) {
+        HttpHeaders headers = ForwardHeaders.ofRequest(request.headers());
+        headers.set(Headers.TARGET, target.endpoint().id().value());
+        headers.set(Headers.DEADLINE, Math.max(1, remainingMillis(nowMillis)));
+        account.ifPresent(known -> headers.set(Headers.ACCOUNT, known.id().value()));
+        sends++;
+        path = path + (path.isEmpty() ? "" : ",") + target.endpoint().id();
+        return new OutboundRequest(request.method(), request.target(), headers, request.body(), attemptId);
+    }
+
+    /**
+     * Counts the request as begun to run, once.
+     */
+    void ran() {
+        if (!counted) {
+            counted = true;
+            account.ifPresent(known -> parts.usage().began(known.id(), parts.wallMillis().getAsLong()));
+        }
+    }
+
+    /**
+     * Passes an endpoint's whole answer on.
+     */
+    void pass(int status, HttpHeaders headers, ByteBuf body) {
+        if (finish("passed", status, "")) {
+            answer.whole(status, ForwardHeaders.ofAnswer(headers), body);
+        }
+    }
+
+    /**
+     * Begins to pass a stream on.
+     */
+    void begin(int status, HttpHeaders headers) {
+        begun = true;
+        HttpHeaders forwarded = ForwardHeaders.ofAnswer(headers);
+        answer.begin(status, forwarded);
+    }
+
+    /**
+     * Ends a stream that was passed on whole.
+     */
+    void endStream() {
+        if (finish("streamed", HttpResponseStatus.OK.code(), "")) {
+            answer.end();
+        }
+    }
+
+    /**
+     * Refuses a request that has not run and won't.
+     *
+     * @param retryAfterMillis when the caller may come back, in milliseconds
+     */
+    void refuse(int status, long retryAfterMillis, String reason) {
+        if (finish("refused", status, reason)) {
+            HttpHeaders headers = new DefaultHttpHeaders();
+            if (retryAfterMillis > 0) {
+                headers.set(
+                        Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND));
+            }
+            answer.whole(status, headers, text(reason));
+        }
+    }
+
+    /**
+     * Gives up a request that may have run: with an error, or by breaking off a stream.
+     */
+    void fail(int status, String reason) {
+        if (!finish(begun ? "broken-off" : "failed", status, reason)) {
+            return;
+        }
+        if (begun) {
+            answer.abort();
+        } else {
+            answer.whole(status, new DefaultHttpHeaders(), text(reason));
+        }
+    }
+
+    /**
+     * Notes that the caller has left.
+     */
+    void callerLeft() {
+        finish("caller-left", 0, "");
+    }
+
+    /**
+     * Tells whether the route's time ends before the caller's.
+     */
+    boolean endsAtRoute() {
+        return endsAtRoute;
+    }
+
+    private boolean finish(String outcome, int status, String reason) {
+        if (done) {
+            return false;
+        }
+        done = true;
+        long tookMillis = parts.clockMillis().getAsLong() - request.arrivedMillis();
+        Event event = Event.of("answer")
+                .with("request", attemptId)
+                .with("outcome", outcome)
+                .with("status", status)
+                .with("route", route.id())
+                .with("millis", tookMillis)
+                .with("sends", sends)
+                .with("endpoints", path.isEmpty() ? "-" : path);
+        (reason.isEmpty() ? event : event.with("reason", reason)).info(LOGGER);
+        parts.metrics().answered(route, outcome, tookMillis);
+        whenDone.run();
+        return true;
+    }
+
+    private static ByteBuf text(String reason) {
+        return Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -0,0 +1,187 @@
+package org.ragwortpitch.edge.traffic;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.lang.System.Logger;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Optional;
+import org.ragwortpitch.contract.EngineForm;
+import org.ragwortpitch.contract.FormException;
+import org.ragwortpitch.contract.Headers;
+import org.ragwortpitch.deployment.AccountSpec;
+import org.ragwortpitch.deployment.CallerLimits;
+import org.ragwortpitch.deployment.Deployment;
+import org.ragwortpitch.deployment.Generation;
+import org.ragwortpitch.deployment.Pool;
+import org.ragwortpitch.deployment.Route;
+import org.ragwortpitch.edge.front.CallerAnswer;
+import org.ragwortpitch.edge.front.CallerRequest;
+import org.ragwortpitch.edge.front.RequestHandler;
+import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.edge.http.HttpCaller;
+import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.placement.EngineChooser;
+
+/**
+ * Decides on each request of a caller: which route, whose account, within its rate or not. Confined to the traffic
+ * thread.
+ */
+public final class Gateway implements RequestHandler {
+
+    private static final Logger LOGGER = System.getLogger(Gateway.class.getName());
+
+    private static final int BAD_REQUEST = 400;
+
+    private static final int UNAUTHORIZED = 401;
+
+    private static final int NOT_FOUND = 404;
+
+    private static final int TOO_MANY = 429;
+
+    private static final int UNAVAILABLE = 503;
+
+    private static final String BEARER = "bearer ";
+
+    /** Retry-After while no configuration is known, in milliseconds; a daemon learns it within about a second. */
+    private static final long UNCONFIGURED_MILLIS = 1_000;
+
+    private final TrafficParts parts;
+    private final Accounts accounts;
+    private final EngineChooser chooser;
+    private final HttpCaller caller;
+    private Deployment deployment;
+
+    /**
+     * Makes a gateway that knows no configuration yet.
+     */
+    public Gateway(TrafficParts parts, Accounts accounts, HttpCaller caller) {
+        this.parts = parts;
+        this.accounts = accounts;
+        this.caller = caller;
+        this.chooser = new EngineChooser(parts.domain());
+    }
+
+    /**
+     * Takes a new version over.
+     */
+    public void apply(Deployment next) {
+        deployment = next;
+        accounts.apply(next, parts.clockMillis().getAsLong());
+    }
+
+    /**
+     * Tells the version in force; empty if none is known.
+     */
+    public Optional<Deployment> deployment() {
+        return Optional.ofNullable(deployment);
+    }
+
+    /**
+     * Tells what callers may send.
+     */
+    public CallerLimits limits() {
+        return deployment == null ? CallerLimits.DEFAULT : deployment.limits();
+    }
+
+    @Override
+    public Cancellation handle(CallerRequest request, CallerAnswer answer) {
+        String attemptId = request.headers().get(Headers.ATTEMPT);
+        if (deployment == null) {
+            return refuse(attemptId, answer, UNAVAILABLE, UNCONFIGURED_MILLIS, "no configuration is known yet");
+        }
+        if (attemptId == null || attemptId.isEmpty()) {
+            return refuse(attemptId, answer, BAD_REQUEST, 0, "send an attempt id");
+        }
+        Optional<Route> route = deployment.route(host(request), request.path());
+        if (route.isEmpty()) {
+            return refuse(attemptId, answer, NOT_FOUND, 0, "no route has this host and path");
+        }
+        Optional<AccountSpec> account = account(request);
+        if (deployment.asksForKeys() && !route.get().open() && account.isEmpty()) {
+            return refuse(attemptId, answer, UNAUTHORIZED, 0, "send a key in force");
+        }
+        try {
+            Optional<Generation> generation = EngineForm.generation(
+                    request.headers().get(Headers.TOKENS), request.headers().get(Headers.PARTS));
+            return admit(request, answer, route.get(), account, generation);
+        } catch (FormException exception) {
+            return refuse(attemptId, answer, BAD_REQUEST, 0, exception.getMessage());
+        }
+    }
+
+    private Cancellation admit(
+            CallerRequest request,
+            CallerAnswer answer,
+            Route route,
+            Optional<AccountSpec> account,
+            Optional<Generation> generation) {
+        String attemptId = request.headers().get(Headers.ATTEMPT);
+        long now = parts.clockMillis().getAsLong();
+        if (account.isPresent()) {
+            AccountSpec spender = account.get();
+            long tokens = generation.map(Generation::countedTokens).orElse(spender.plainTokens());
+            long waitMillis = accounts.spend(spender.id(), tokens, now);
+            if (waitMillis > 0) {
+                return refuse(attemptId, answer, TOO_MANY, waitMillis, "account " + spender.id() + " is over its rate");
+            }
+        }
+        Exchange exchange =
+                new Exchange(parts, request, answer, attemptId, route, account, callerMillis(request, route));
+        Pool pool = deployment.pool(route.pool(attemptId.hashCode())).orElse(null);
+        if (pool == null) {
+            exchange.refuse(UNAVAILABLE, UNCONFIGURED_MILLIS, "the route's pool isn't configured");
+            return Cancellation.NONE;
+        }
+        parts.repeats().request(pool.id(), now);
+        if (pool.engine().isPresent() && generation.isPresent()) {
+            EngineRun run = new EngineRun(parts, chooser, caller, exchange, pool.id(), generation.get());
+            run.start();
+            return run;
+        }
+        ServiceRun run = new ServiceRun(parts, exchange, pool.id());
+        run.start();
+        return run;
+    }
+
+    private Cancellation refuse(
+            String attemptId, CallerAnswer answer, int status, long retryAfterMillis, String reason) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (retryAfterMillis > 0) {
+            headers.set(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryAfterMillis / 1_000.0));
+        }
+        Event.of("answer")
+                .with("request", attemptId)
+                .with("outcome", "refused")
+                .with("status", status)
+                .with("version", deployment == null ? "-" : deployment.version())
+                .with("reason", reason)
+                .info(LOGGER);
+        parts.metrics().refused(status);
+        answer.whole(status, headers, Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8));
+        return Cancellation.NONE;
+    }
+
+    private Optional<AccountSpec> account(CallerRequest request) {
+        String header = request.headers().get(Headers.AUTHORIZATION);
+        if (header == null || !header.toLowerCase(Locale.ROOT).startsWith(BEARER)) {
+            return Optional.empty();
+        }
+        return deployment.accountOfKey(header.substring(BEARER.length()).trim());
+    }
+
+    private static long callerMillis(CallerRequest request, Route route) {
+        String sent = request.headers().get(Headers.DEADLINE);
+        return sent != null && sent.matches("\\d{1,12}") ? Long.parseLong(sent) : route.timeoutMillis();
+    }
+
+    private static String host(CallerRequest request) {
+        String host = request.headers().get("host");
+        if (host == null) {
+            return "";
+        }
+        int colon = host.lastIndexOf(':');
+        return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -0,0 +1,136 @@
+package org.ragwortpitch.edge.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.deployment.PromptPart;
+import org.ragwortpitch.edge.peer.GossipSocket;
+import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.placement.PeerLoad;
+import org.ragwortpitch.wire.generated.GossipProtocol.AccountSpend;
+import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
+import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
+
+/**
+ * Tells the other daemons what this one has spent and has under way, and takes over what they tell. Confined to the
+ * traffic thread.
+ */
+public final class Gossiper {
+
+    private final Daemon self;
+    private final GossipSocket socket;
+    private final PeerView peers;
+    private final Fleet fleet;
+    private final Accounts accounts;
+    private final BooleanSupplier ready;
+    private final LongSupplier clockMillis;
+    private long sequence;
+
+    /**
+     * Makes a gossiper.
+     *
+     * @param ready whether this daemon takes callers, as of now
+     */
+    public Gossiper(
+            Daemon self,
+            GossipSocket socket,
+            PeerView peers,
+            Fleet fleet,
+            Accounts accounts,
+            BooleanSupplier ready,
+            LongSupplier clockMillis) {
+        this.self = self;
+        this.socket = socket;
+        this.peers = peers;
+        this.fleet = fleet;
+        this.accounts = accounts;
+        this.ready = ready;
+        this.clockMillis = clockMillis;
+    }
+
+    /**
+     * Tells all other daemons the present state, and forgets what silent ones had under way.
+     */
+    public void tell() {
+        long now = clockMillis.getAsLong();
+        byte[] datagram = message().toByteArray();
+        peers.others().forEach(daemon -> {
+            socket.send(daemon.peerAddress(), datagram);
+            if (!peers.isHeard(daemon.id(), now)) {
+                forget(daemon.id());
+            }
+        });
+        accounts.share((double) peers.heardCount(now) / peers.count(), now);
+    }
+
+    /**
+     * Takes over what another daemon tells.
+     */
+    public void heard(Gossip gossip) {
+        long now = clockMillis.getAsLong();
+        InstanceId peer = new InstanceId(gossip.getInstance());
+        if (peer.equals(self.id())
+                || !peers.hear(peer, gossip.getBornMillis(), gossip.getSequence(), gossip.getReady(), now)) {
+            return;
+        }
+        for (AccountSpend spend : gossip.getSpendsList()) {
+            accounts.peerSpent(
+                    peer, gossip.getBornMillis(), new AccountId(spend.getAccount()), spend.getTokens(), now);
+        }
+        forget(peer);
+        gossip.getLoadsList().forEach(load -> apply(peer, load));
+    }
+
+    private void apply(InstanceId peer, EngineLoad load) {
+        EndpointState state = fleet.find(new EndpointId(load.getEndpoint()));
+        if (state == null || state.engine() == null) {
+            return;
+        }
+        state.engine().peer(peer, new PeerLoad(load.getRunning(), load.getHeldTokens(), load.getReadingTokens()));
+        List<PromptPart> parts = new ArrayList<>();
+        for (int index = 0; index < Math.min(load.getPartIdsCount(), load.getPartTokensCount()); index++) {
+            parts.add(new PromptPart(load.getPartIds(index), load.getPartTokens(index)));
+        }
+        state.engine().cache().sent(parts);
+    }
+
+    private void forget(InstanceId peer) {
+        fleet.all().stream()
+                .filter(state -> state.engine() != null)
+                .forEach(state -> state.engine().peer(peer, new PeerLoad(0, 0, 0)));
+    }
+
+    private Gossip message() {
+        Gossip.Builder gossip = Gossip.newBuilder()
+                .setInstance(self.id().value())
+                .setBornMillis(self.bornMillis())
+                .setSequence(++sequence)
+                .setReady(ready.getAsBoolean());
+        accounts.eachSpent((account, tokens) -> gossip.addSpends(
+                AccountSpend.newBuilder().setAccount(account.value()).setTokens(tokens)));
+        fleet.all().forEach(state -> addLoad(gossip, state));
+        return gossip.build();
+    }
+
+    private static void addLoad(Gossip.Builder gossip, EndpointState state) {
+        if (state.engine() == null) {
+            return;
+        }
+        List<PromptPart> parts = state.takeSentParts();
+        if (state.engine().ownRunning() == 0 && parts.isEmpty()) {
+            return;
+        }
+        EngineLoad.Builder load = EngineLoad.newBuilder()
+                .setEndpoint(state.endpoint().id().value())
+                .setRunning(state.engine().ownRunning())
+                .setHeldTokens(state.engine().ownHeldTokens())
+                .setReadingTokens(state.engine().ownReadingTokens());
+        parts.forEach(part -> load.addPartIds(part.id()).addPartTokens(part.tokens()));
+        gossip.addLoads(load);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
@@ -0,0 +1,27 @@
+package org.ragwortpitch.edge.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.function.LongSupplier;
+import org.ragwortpitch.edge.directory.EdgeMetrics;
+import org.ragwortpitch.edge.http.ConnectionPool;
+import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.ledger.WindowCounts;
+
+/**
+ * What the handling of requests shares.
+ *
+ * @param loop        the traffic thread
+ * @param clockMillis the monotonic clock, in milliseconds
+ * @param wallMillis  the wall clock, in milliseconds since 1970
+ * @param domain      this daemon's failure domain
+ */
+public record TrafficParts(
+        EventLoop loop,
+        LongSupplier clockMillis,
+        LongSupplier wallMillis,
+        FailureDomain domain,
+        ConnectionPool connections,
+        Fleet fleet,
+        RepeatBudgets repeats,
+        WindowCounts usage,
+        EdgeMetrics metrics) {}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
@@ -0,0 +1,123 @@
+package org.ragwortpitch.allowance;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.ragwortpitch.identity.InstanceId;
+
+/**
+ * A token bucket that all daemons spend from. Each keeps the whole bucket, debits what it lets through itself, and what
+ * the others tell of theirs as totals, so that a lost message costs only time. While some daemons are not heard of, it
+ * refills only by the part of those that are: the silent ones may be spending theirs. Confined to one thread.
+ */
+public final class SharedBucket {
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final Map<InstanceId, PeerTotal> peers = new HashMap<>();
+    private double tokensPerSecond;
+    private double burstTokens;
+    private double level;
+    private double share = 1;
+    private long updatedMillis;
+    private long spentTokens;
+
+    /**
+     * Makes a bucket.
+     *
+     * @param filled what it holds at first, as a part of the burst: less than 1 where earlier spending isn't known
+     */
+    public SharedBucket(long tokensPerSecond, long burstTokens, double filled, long nowMillis) {
+        this.tokensPerSecond = tokensPerSecond;
+        this.burstTokens = burstTokens;
+        this.level = burstTokens * filled;
+        this.updatedMillis = nowMillis;
+    }
+
+    /**
+     * Changes the rate; what is there beyond the new burst is gone.
+     */
+    public void configure(long newTokensPerSecond, long newBurstTokens, long nowMillis) {
+        refill(nowMillis);
+        tokensPerSecond = newTokensPerSecond;
+        burstTokens = newBurstTokens;
+        level = Math.min(level, burstTokens);
+    }
+
+    /**
+     * Sets the part of the rate that daemons use which are heard of.
+     */
+    public void share(double newShare, long nowMillis) {
+        refill(nowMillis);
+        share = newShare;
+    }
+
+    /**
+     * Spends tokens if any are there; a request larger than what is there makes a debt that the rate pays off, so that
+     * requests larger than the burst are served too.
+     */
+    public boolean trySpend(long tokens, long nowMillis) {
+        refill(nowMillis);
+        if (level <= 0) {
+            return false;
+        }
+        level -= tokens;
+        spentTokens += tokens;
+        return true;
+    }
+
+    /**
+     * Gives tokens back that were spent on a request which has not run.
+     */
+    public void giveBack(long tokens) {
+        level = Math.min(burstTokens, level + tokens);
+        spentTokens -= tokens;
+    }
+
+    /**
+     * Debits what another daemon has let through since the last time.
+     *
+     * @param bornMillis  which life of the daemon tells it
+     * @param totalTokens what it has let through in that life
+     */
+    public void peerSpent(InstanceId peer, long bornMillis, long totalTokens, long nowMillis) {
+        refill(nowMillis);
+        PeerTotal known = peers.get(peer);
+        if (known != null && known.bornMillis() > bornMillis) {
+            return;
+        }
+        boolean sameLife = known != null && known.bornMillis() == bornMillis;
+        // The first word of a life that began before this daemon knew of it tells nothing of when it was spent.
+        long before = sameLife ? known.totalTokens() : totalTokens;
+        level = Math.max(-burstTokens, Math.min(burstTokens, level - (totalTokens - before)));
+        peers.put(peer, new PeerTotal(bornMillis, totalTokens));
+    }
+
+    /**
+     * Tells how long until something can be spent, in milliseconds.
+     */
+    public long waitMillis(long nowMillis) {
+        refill(nowMillis);
+        if (level > 0) {
+            return 0;
+        }
+        return (long) Math.ceil((1 - level) * MILLIS_PER_SECOND / Math.max(1, tokensPerSecond * share));
+    }
+
+    /**
+     * Tells what this daemon has let through.
+     */
+    public long spentTokens() {
+        return spentTokens;
+    }
+
+    private void refill(long nowMillis) {
+        double elapsedMillis = Math.max(0, nowMillis - updatedMillis);
+        updatedMillis = Math.max(updatedMillis, nowMillis);
+        level = Math.min(burstTokens, level + elapsedMillis * tokensPerSecond * share / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * What a daemon has let through in one life.
+     */
+    private record PeerTotal(long bornMillis, long totalTokens) {}
+}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Daemon.java
@@ -0,0 +1,16 @@
+package org.ragwortpitch.deployment;
+
+import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.identity.InstanceId;
+
+/**
+ * A daemon as it lists itself.
+ *
+ * @param id           the instance that it runs on
+ * @param bornMillis   when this life of it began, in milliseconds since 1970
+ * @param domain       the instance's failure domain
+ * @param frontAddress where callers connect, as host and port
+ * @param peerAddress  where other daemons send to, as host and port
+ */
+public record Daemon(
+        InstanceId id, long bornMillis, FailureDomain domain, String frontAddress, String peerAddress) {}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/deployment/RouteTable.java
@@ -0,0 +1,42 @@
+package org.ragwortpitch.deployment;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Finds routes by host and longest path prefix, one look-up for each slash of a path.
+ */
+public final class RouteTable {
+
+    private final Map<String, Map<String, Route>> byHost = new HashMap<>();
+
+    /**
+     * Indexes routes; of two with the same host and prefix the later one counts.
+     */
+    public RouteTable(List<Route> routes) {
+        routes.forEach(route -> byHost.computeIfAbsent(route.host(), host -> new HashMap<>())
+                .put(route.pathPrefix(), route));
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host the request's host, in lower case and without a port
+     * @param path the path, without a query
+     */
+    public Optional<Route> find(String host, String path) {
+        Map<String, Route> byPrefix = byHost.getOrDefault(host, Map.of());
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            Route route = byPrefix.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+            if (slash == 0) {
+                break;
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/ledger/WindowCounts.java
@@ -0,0 +1,57 @@
+package org.ragwortpitch.ledger;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ragwortpitch.identity.AccountId;
+
+/**
+ * Counts the requests of accounts that began to run, by window of the wall clock. Confined to one thread.
+ */
+public final class WindowCounts {
+
+    private final long windowMillis;
+    private final TreeMap<Long, Map<AccountId, Long>> windows = new TreeMap<>();
+
+    /**
+     * Makes empty counts.
+     *
+     * @param windowMillis the length of a window, in milliseconds
+     */
+    public WindowCounts(long windowMillis) {
+        this.windowMillis = windowMillis;
+    }
+
+    /**
+     * Counts a request.
+     *
+     * @param wallMillis when it began to run, in milliseconds since 1970
+     */
+    public void began(AccountId account, long wallMillis) {
+        windows.computeIfAbsent(windowAt(wallMillis), number -> new HashMap<>()).merge(account, 1L, Long::sum);
+    }
+
+    /**
+     * Tells the number of the window that holds a time.
+     */
+    public long windowAt(long wallMillis) {
+        return Math.floorDiv(wallMillis, windowMillis);
+    }
+
+    /**
+     * Takes the counts of all windows that ended before a time, oldest first.
+     */
+    public TreeMap<Long, Map<AccountId, Long>> takeEnded(long wallMillis) {
+        TreeMap<Long, Map<AccountId, Long>> ended = new TreeMap<>(windows.headMap(windowAt(wallMillis)));
+        windows.headMap(windowAt(wallMillis)).clear();
+        return ended;
+    }
+
+    /**
+     * Puts counts back whose hand-over failed.
+     */
+    public void putBack(long window, Map<AccountId, Long> counts) {
+        Map<AccountId, Long> there = windows.computeIfAbsent(window, number -> new HashMap<>());
+        counts.forEach((account, count) -> there.merge(account, count, Long::sum));
+    }
+}
