--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -47,7 +47,7 @@
     private final Map<InstanceId, Daemon> daemons = new HashMap<>();
     private final UsageDesk usage;
     private final DutyDesk duties;
-    private long version = -1;
+    private Deployment deployment;
 
     /**
      * Prepares to follow the store.
@@ -74,17 +74,23 @@
                 life,
                 new LeaseClock(clockMillis, wallMillis),
                 settings.bounds().leaseMillis(),
-                duty(caller, wallMillis));
+                duty(caller, clockMillis, wallMillis));
     }
 
-    private Duty duty(HttpCaller caller, LongSupplier wallMillis) {
+    private Duty duty(HttpCaller caller, LongSupplier clockMillis, LongSupplier wallMillis) {
         if (settings.cloud().isEmpty()) {
             return (token, refused) -> {};
         }
         PlatformCalls platform = new PlatformCalls(caller, settings.cloud().get());
         UsageReporter reporter =
                 new UsageReporter(store, platform, self.id(), settings.bounds().usageWindowMillis());
-        return (token, refused) -> reporter.step(token, wallMillis.getAsLong(), refused);
+        FleetDesk fleet = new FleetDesk(platform, self.id(), clockMillis);
+        return (token, refused) -> {
+            reporter.step(token, wallMillis.getAsLong(), refused);
+            if (deployment != null) {
+                fleet.step(token, deployment, endpoints.endpoints());
+            }
+        };
     }
 
     /**
@@ -153,19 +159,19 @@
                 continue;
             }
             try {
-                Deployment deployment = DeploymentForm.decode(entry.value());
-                if (deployment.version() > version) {
-                    version = deployment.version();
+                Deployment next = DeploymentForm.decode(entry.value());
+                if (deployment == null || next.version() > deployment.version()) {
+                    deployment = next;
                     Event.of("deployment")
-                            .with("version", version)
+                            .with("version", next.version())
                             .with("offset", entry.offset())
                             .info(LOGGER);
-                    listener.onDeployment(deployment);
+                    listener.onDeployment(next);
                 }
             } catch (FormException exception) {
                 Event.of("deployment-unreadable")
                         .with("offset", entry.offset())
-                        .with("in-force", version)
+                        .with("in-force", deployment == null ? "-" : deployment.version())
                         .with("reason", exception.getMessage())
                         .warn(LOGGER);
             }
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/scaling/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How many endpoints are ordered, where, and of which kind.
+ */
+package org.ragwortpitch.scaling;
