Read prompts apart on reclaimable engines, make tokens on firm ones

Cause: engines that make tokens read prompts at about 15 tokens a ms, between the tokens of all others; readers manage 37. A mix of 4 readers and 9 others could read 300 tokens a ms of the 530 to 900 that were asked for. Ruled out: placement alone (the estimates were off by the same factor on all engines); quotas (few refusals then). Change: one firm engine a failure domain makes tokens, reclaimable ones read; role orders rest on the engine's own count of orders (the list entry's number is another one); reads are estimated by measured speed; memory that no engine took is freed; tokens of requests that didn't run are given back.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -116,8 +116,8 @@
         fleet = new Fleet(connections::forget);
         RepeatBudgets repeats = new RepeatBudgets(settings.bounds(), peers::count);
         TrafficParts parts = new TrafficParts(
-                trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, repeats, usage, metrics);
-        gateway = new Gateway(parts, accounts, new HttpCaller(trafficLoop, connections));
+                trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, accounts, repeats, usage, metrics);
+        gateway = new Gateway(parts, new HttpCaller(trafficLoop, connections));
         ConnectionPool controlConnections = new ConnectionPool(controlLoop, CONNECT_MILLIS, clockMillis);
         control = new Control(
                 controlLoop,
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -85,10 +85,12 @@
         UsageReporter reporter =
                 new UsageReporter(store, platform, self.id(), settings.bounds().usageWindowMillis());
         FleetDesk fleet = new FleetDesk(platform, self.id(), clockMillis);
+        RoleDesk roles = new RoleDesk(caller, self.id(), clockMillis);
         return (token, refused) -> {
             reporter.step(token, wallMillis.getAsLong(), refused);
             if (deployment != null) {
                 fleet.step(token, deployment, endpoints.endpoints());
+                roles.step(token, deployment, endpoints.endpoints());
             }
         };
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
@@ -29,6 +29,9 @@
     /** An order is repeated if its endpoints haven't come this long after their time to boot, in milliseconds. */
     private static final long LATE_MILLIS = 2_500;
 
+    /** Readers for each engine that operators have running at first: prompts are read anew while caches are cold. */
+    private static final double FIRST_READERS_SHARE = 1.4;
+
     private static final int CONFLICT = 409;
 
     private final PlatformCalls platform;
@@ -57,9 +60,8 @@
         if (now.isEmpty()) {
             return;
         }
-        // What the operators have running at first is taken for what carries the load.
         int load = needed.computeIfAbsent(
-                pool.id(), id -> now.values().stream().mapToInt(DomainFleet::total).sum());
+                pool.id(), id -> firstReaders(now.values().stream().mapToInt(DomainFleet::total).sum()));
         FleetPlanner.plan(spec, load, now).forEach((domain, plan) -> {
             DomainFleet there = now.get(domain);
             order(fencingToken, new Subject(pool.id(), domain, true), plan.reclaimable(), there.reclaimable(), spec);
@@ -67,6 +69,10 @@
         });
     }
 
+    private static int firstReaders(int there) {
+        return Math.max(1, (int) Math.ceil(there * FIRST_READERS_SHARE));
+    }
+
     private static Map<FailureDomain, DomainFleet> present(PoolId pool, Collection<Endpoint> endpoints) {
         Map<FailureDomain, DomainFleet> now = new HashMap<>();
         for (Endpoint endpoint : endpoints) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -22,6 +22,7 @@
     private final Engine engine;
     private Endpoint endpoint;
     private int running;
+    private long heardMillis;
 
     EndpointState(Endpoint endpoint, Optional<EngineSpec> spec) {
         this.endpoint = endpoint;
@@ -73,6 +74,17 @@
         return running;
     }
 
+    /**
+     * Notes that something came of it.
+     */
+    void heard(long nowMillis) {
+        heardMillis = nowMillis;
+    }
+
+    long heardMillis() {
+        return heardMillis;
+    }
+
     void begin() {
         running++;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -71,7 +71,12 @@
     private int ranAt;
     private long lastEvent;
     private Placement placement;
-    private long placedMillis;
+    private Runnable pendingFree = () -> {};
+    private long readTokens;
+    private long readBacklog;
+    private double readEstimate;
+    private EndpointState asked;
+    private long askedMillis;
 
     EngineRun(
             TrafficParts parts,
@@ -102,6 +107,7 @@
             deadline.cancel(false);
             stopSilence();
             current.cancel();
+            freePending();
         });
         place(now);
     }
@@ -125,7 +131,6 @@
             giveUp("the first event would take " + (long) placement.firstMillis() + " of " + patience + " ms");
             return;
         }
-        placedMillis = now;
         logPlacement();
         if (placement.reader().isPresent()) {
             read(placement.reader().get(), now);
@@ -138,6 +143,9 @@
         EndpointState state = parts.fleet().find(reader.endpoint().id());
         state.health().sent(now);
         int uncached = EngineEstimate.uncachedTokens(reader, generation);
+        readTokens = uncached;
+        readBacklog = reader.totalReadingTokens();
+        readEstimate = EngineEstimate.readMillis(reader, generation);
         PromptRead read = new PromptRead(
                 state, generation.promptTokens(), uncached, handle -> handedOver(state, handle), reason -> {
                     state.health().failed(false, now());
@@ -145,16 +153,30 @@
                 });
         current = read;
         state.sentParts(generation.parts());
-        watchSilence();
+        ask(state, now);
         read.start(parts, urgent(exchange.outbound(state, now)));
     }
 
     private void handedOver(EndpointState reader, String handle) {
+        Event.of("prompt-read")
+                .with("request", exchange.attemptId())
+                .with("reader", reader.endpoint().id())
+                .with("millis", now() - askedMillis)
+                .with("uncached", readTokens)
+                .with("estimate-millis", (long) readEstimate)
+                .with("backlog", readBacklog)
+                .with("running", reader.engine().totalRunning())
+                .info(LOGGER);
+        if (readBacklog == 0) {
+            reader.engine().measured(now() - askedMillis, readEstimate);
+        }
+        pendingFree = () -> free(reader, handle);
         if (exchange.isDone()) {
-            free(reader, handle);
+            freePending();
             return;
         }
         reader.health().succeeded();
+        reader.heard(now());
         decode(EngineForm.memoryFrom(reader.endpoint().address(), handle), now());
     }
 
@@ -167,6 +189,15 @@
         again(reason, true);
     }
 
+    /**
+     * Frees memory that no engine has taken over.
+     */
+    private void freePending() {
+        Runnable free = pendingFree;
+        pendingFree = () -> {};
+        free.run();
+    }
+
     private void free(EndpointState reader, String handle) {
         caller.call(
                 reader.endpoint().address(),
@@ -200,7 +231,7 @@
         StreamRun run = new StreamRun(state, generation.countedTokens(), uncached, this);
         current = run;
         state.sentParts(generation.parts());
-        watchSilence();
+        ask(state, now);
         run.start(parts, request);
     }
 
@@ -226,6 +257,8 @@
             exchange.begin(200, run.headers());
             parts.metrics().firstEvent(exchange.route(), now() - exchange.request().arrivedMillis());
         }
+        pendingFree = () -> {};
+        run.target().heard(now());
         watchSilence();
         for (StreamEvent event : events) {
             if (event.id() == StreamEvent.NO_ID || event.id() > lastEvent) {
@@ -298,6 +331,7 @@
     }
 
     private void again(String reason, boolean arrived) {
+        freePending();
         long now = now();
         boolean allowed = sends < MAX_SENDS
                 && exchange.remainingMillis(now) > 0
@@ -336,8 +370,14 @@
      */
     private void watchSilence() {
         stopSilence();
-        silence = parts.loop()
-                .schedule(this::silent, (long) (SILENCE_SHARE * patienceMillis()), TimeUnit.MILLISECONDS);
+        long millis = (long) (SILENCE_SHARE * patienceMillis());
+        silence = parts.loop().schedule(() -> silent(millis), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void ask(EndpointState state, long now) {
+        asked = state;
+        askedMillis = now;
+        watchSilence();
     }
 
     private void stopSilence() {
@@ -346,8 +386,11 @@
         }
     }
 
-    private void silent() {
-        if (current instanceof StreamRun run && !exchange.isDone()) {
+    private void silent(long millis) {
+        // An engine that answers others is busy, not gone; starting anew elsewhere would only add to the work.
+        if (askedMillis + millis > now() || asked.heardMillis() + millis > now()) {
+            watchSilence();
+        } else if (current instanceof StreamRun run && !exchange.isDone()) {
             boolean elsewhere = exchange.route().resumable()
                     && ranAt + 1 < exchange.route().maxEndpoints();
             run.target().health().failed(true, now());
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -35,9 +35,11 @@
     private final String attemptId;
     private final Route route;
     private final Optional<AccountSpec> account;
+    private final long tokens;
     private final long deadlineMillis;
     private final boolean endsAtRoute;
     private String path = "";
+    private long firstMillis;
     private int sends;
     private boolean counted;
     private boolean begun;
@@ -51,6 +53,7 @@
             String attemptId,
             Route route,
             Optional<AccountSpec> account,
+            long tokens,
             long callerMillis) {
         this.parts = parts;
         this.request = request;
@@ -58,6 +61,7 @@
         this.attemptId = attemptId;
         this.route = route;
         this.account = account;
+        this.tokens = tokens;
         this.endsAtRoute = callerMillis - ANSWER_MARGIN_MILLIS > route.timeoutMillis();
         this.deadlineMillis = request.arrivedMillis()
                 + Math.min(callerMillis - ANSWER_MARGIN_MILLIS, route.timeoutMillis());
@@ -139,6 +143,7 @@
      */
     void begin(int status, HttpHeaders headers) {
         begun = true;
+        firstMillis = parts.clockMillis().getAsLong() - request.arrivedMillis();
         HttpHeaders forwarded = ForwardHeaders.ofAnswer(headers);
         answer.begin(status, forwarded);
     }
@@ -201,6 +206,9 @@
             return false;
         }
         done = true;
+        if (!counted) {
+            account.ifPresent(known -> parts.accounts().giveBack(known.id(), tokens));
+        }
         long tookMillis = parts.clockMillis().getAsLong() - request.arrivedMillis();
         Event event = Event.of("answer")
                 .with("request", attemptId)
@@ -208,6 +216,7 @@
                 .with("status", status)
                 .with("route", route.id())
                 .with("millis", tookMillis)
+                .with("first-millis", firstMillis)
                 .with("sends", sends)
                 .with("endpoints", path.isEmpty() ? "-" : path);
         (reason.isEmpty() ? event : event.with("reason", reason)).info(LOGGER);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -56,9 +56,9 @@
     /**
      * Makes a gateway that knows no configuration yet.
      */
-    public Gateway(TrafficParts parts, Accounts accounts, HttpCaller caller) {
+    public Gateway(TrafficParts parts, HttpCaller caller) {
         this.parts = parts;
-        this.accounts = accounts;
+        this.accounts = parts.accounts();
         this.caller = caller;
         this.chooser = new EngineChooser(parts.domain());
     }
@@ -119,16 +119,18 @@
             Optional<Generation> generation) {
         String attemptId = request.headers().get(Headers.ATTEMPT);
         long now = parts.clockMillis().getAsLong();
+        long tokens = generation
+                .map(Generation::countedTokens)
+                .orElse(account.map(AccountSpec::plainTokens).orElse(0L));
         if (account.isPresent()) {
             AccountSpec spender = account.get();
-            long tokens = generation.map(Generation::countedTokens).orElse(spender.plainTokens());
             long waitMillis = accounts.spend(spender.id(), tokens, now);
             if (waitMillis > 0) {
                 return refuse(attemptId, answer, TOO_MANY, waitMillis, "account " + spender.id() + " is over its rate");
             }
         }
         Exchange exchange =
-                new Exchange(parts, request, answer, attemptId, route, account, callerMillis(request, route));
+                new Exchange(parts, request, answer, attemptId, route, account, tokens, callerMillis(request, route));
         Pool pool = deployment.pool(route.pool(attemptId.hashCode())).orElse(null);
         if (pool == null) {
             exchange.refuse(UNAVAILABLE, UNCONFIGURED_MILLIS, "the route's pool isn't configured");
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
@@ -22,6 +22,7 @@
         FailureDomain domain,
         ConnectionPool connections,
         Fleet fleet,
+        Accounts accounts,
         RepeatBudgets repeats,
         WindowCounts usage,
         EdgeMetrics metrics) {}
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -13,13 +14,13 @@
 
 /**
  * Chooses the engines with the least estimated time to the first event, plus what bytes between failure domains, moved
- * memory and crowding cost in equal terms. Requests of one subject prefer one engine of each failure domain (rendezvous
- * hashing, Thaler and Ravishankar 1998), so that daemons agree on it without a word.
+ * memory and crowding cost in equal terms. Requests of one subject prefer one reader (rendezvous hashing, Thaler and
+ * Ravishankar 1998), so that daemons agree on it without a word and each subject is kept once.
  */
 public final class EngineChooser {
 
-    /** What a send to another failure domain costs, in milliseconds; about a tenth of the usual target. */
-    private static final double OTHER_DOMAIN_MILLIS = 60;
+    /** What a send to another failure domain costs, in milliseconds; what the bytes cost beside a late answer. */
+    private static final double OTHER_DOMAIN_MILLIS = 20;
 
     /** What a hand-over costs besides its time, in milliseconds; the memory that is moved has a price. */
     private static final double HAND_OVER_MILLIS = 20;
@@ -58,14 +59,14 @@
     public Optional<Placement> choose(Generation generation, Collection<Engine> engines) {
         List<Engine> decoders = withRole(engines, EndpointRole.DECODE);
         List<Engine> readers = withRole(engines, EndpointRole.PREFILL);
-        Optional<EndpointId> preferred = preferred(generation.subject(), decoders);
         Choice best = null;
         Optional<Reader> reader = bestReader(generation, readers);
         for (Engine decoder : decoders) {
-            double extra = extraMillis(decoder, generation)
-                    - (preferred.filter(decoder.endpoint().id()::equals).isPresent() ? PREFERRED_MILLIS : 0);
+            double extra = extraMillis(decoder, generation);
             double local = EngineEstimate.localMillis(decoder, generation);
-            best = better(best, new Choice(new Placement(decoder, Optional.empty(), local), local + extra));
+            best = better(best, new Choice(
+                    new Placement(decoder, Optional.empty(), local),
+                    local + extra + EngineEstimate.disturbedMillis(decoder, generation)));
             if (reader.isPresent()) {
                 double time = reader.get().millis() + EngineEstimate.handedOverMillis(decoder, generation);
                 double cost = reader.get().cost() - reader.get().millis() + time + HAND_OVER_MILLIS + extra;
@@ -106,26 +107,12 @@
         return engine.endpoint().domain().equals(domain) ? 0 : OTHER_DOMAIN_MILLIS;
     }
 
-    /**
-     * Finds the engine of this failure domain that a subject prefers, or of all if there is none here.
-     */
-    private Optional<EndpointId> preferred(long subject, List<Engine> engines) {
-        if (subject == 0) {
-            return Optional.empty();
-        }
-        EndpointId best = null;
-        long bestWeight = 0;
-        boolean bestNear = false;
-        for (Engine engine : engines) {
-            boolean near = engine.endpoint().domain().equals(domain);
-            long weight = weight(subject, engine.endpoint().id());
-            if (best == null || near && !bestNear || near == bestNear && weight > bestWeight) {
-                best = engine.endpoint().id();
-                bestWeight = weight;
-                bestNear = near;
-            }
-        }
-        return Optional.ofNullable(best);
+    private static Optional<EndpointId> preferred(long subject, List<Engine> engines) {
+        return subject == 0
+                ? Optional.empty()
+                : engines.stream()
+                        .map(engine -> engine.endpoint().id())
+                        .max(Comparator.comparingLong(id -> weight(subject, id)));
     }
 
     private static long weight(long subject, EndpointId id) {
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
@@ -8,8 +8,17 @@
  */
 public final class EngineEstimate {
 
-    /** Tokens that an engine reads in a millisecond when it does nothing else; from the operators' sheet. */
-    public static final double READ_TOKENS_PER_MILLI = 51;
+    /** Tokens that an engine reads in a millisecond when it does nothing else; measured over reads of all lengths. */
+    public static final double READ_TOKENS_PER_MILLI = 37;
+
+    /** What a read takes besides its tokens, in milliseconds; measured with prompts that were kept whole. */
+    private static final double READ_SETUP_MILLIS = 50;
+
+    /**
+     * Tokens that an engine reads in a millisecond beside making tokens: a quarter of a piece of 1,024 at half the
+     * speed, then a step of about 5.5 ms for the others.
+     */
+    private static final double BESIDE_TOKENS_PER_MILLI = 15;
 
     /** An engine that also makes tokens reads at half the speed; the platform's interface says so. */
     private static final double BESIDE_TOKENS_SHARE = 0.5;
@@ -23,6 +32,9 @@
     /** Setting up a transfer between engines, in milliseconds; from the operators' sheet. */
     private static final double TRANSFER_SETUP_MILLIS = 6;
 
+    /** From this many streams on, delaying them counts as much as delaying the new one. */
+    private static final double DISTURBED_STREAMS = 8;
+
     private static final double BITS_PER_BYTE = 8;
 
     private static final double BITS_PER_MEGABIT_MILLI = 1_000;
@@ -36,7 +48,7 @@
      */
     public static double readMillis(Engine engine, Generation generation) {
         int uncached = uncachedTokens(engine, generation);
-        double own = uncached / READ_TOKENS_PER_MILLI + pairsMillis(uncached, generation.promptTokens());
+        double own = READ_SETUP_MILLIS + uncached / READ_TOKENS_PER_MILLI + pairsMillis(uncached, generation.promptTokens());
         return engine.slowness() * (own + engine.totalReadingTokens() / READ_TOKENS_PER_MILLI);
     }
 
@@ -45,9 +57,8 @@
      */
     public static double localMillis(Engine engine, Generation generation) {
         int uncached = uncachedTokens(engine, generation);
-        double speed = READ_TOKENS_PER_MILLI * BESIDE_TOKENS_SHARE;
-        double own = uncached / speed + pairsMillis(uncached, generation.promptTokens()) / BESIDE_TOKENS_SHARE;
-        return engine.slowness() * (own + engine.totalReadingTokens() / speed + FIRST_EVENT_MILLIS);
+        double own = uncached / BESIDE_TOKENS_PER_MILLI + pairsMillis(uncached, generation.promptTokens()) / BESIDE_TOKENS_SHARE;
+        return engine.slowness() * (own + engine.totalReadingTokens() / BESIDE_TOKENS_PER_MILLI + FIRST_EVENT_MILLIS);
     }
 
     /**
@@ -66,6 +77,15 @@
         return Math.max(1, generation.promptTokens() - engine.cache().keptTokens(generation.parts()));
     }
 
+    /**
+     * Estimates how much the streams of an engine are delayed, all together, by a prompt that it reads between their
+     * tokens.
+     */
+    public static double disturbedMillis(Engine engine, Generation generation) {
+        double reading = uncachedTokens(engine, generation) / (READ_TOKENS_PER_MILLI * BESIDE_TOKENS_SHARE);
+        return reading * Math.min(1, engine.totalRunning() / DISTURBED_STREAMS);
+    }
+
     private static double pairsMillis(int uncached, int promptTokens) {
         double pairs = (double) uncached * (promptTokens - uncached / 2.0);
         return MILLIS_PER_MILLION_PAIRS * pairs / PAIRS_PER_MILLION;
