--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -30,14 +30,18 @@
 import org.ragwortpitch.edge.peer.GossipSocket;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.edge.traffic.Accounts;
+import org.ragwortpitch.edge.traffic.Demands;
 import org.ragwortpitch.edge.traffic.Fleet;
 import org.ragwortpitch.edge.traffic.Gateway;
 import org.ragwortpitch.edge.traffic.Gossiper;
 import org.ragwortpitch.edge.traffic.RepeatBudgets;
 import org.ragwortpitch.edge.traffic.TrafficParts;
 import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.scaling.PoolDemand;
 
 /**
  * A daemon: one thread for traffic, one for control, and what passes between them.
@@ -54,6 +58,9 @@
     /** How often ended windows of usage are looked for, in milliseconds. */
     private static final long USAGE_MILLIS = 500;
 
+    /** How often the demand is measured, in milliseconds: several times in the span of its rate. */
+    private static final long DEMAND_MILLIS = 500;
+
     /** The part of the time to stop after which idle connections are closed; callers have new addresses by then. */
     private static final double CLOSE_IDLE_SHARE = 0.7;
 
@@ -82,10 +89,12 @@
     private final WindowCounts usage;
     private final PeerView peers = new PeerView();
     private final Accounts accounts;
+    private final Demands demands = new Demands();
     private final Fleet fleet;
     private final Gateway gateway;
     private final Control control;
     private FrontServer front;
+    private Gossiper gossiper;
     private Collection<Endpoint> endpoints = List.of();
     private boolean listed;
 
@@ -116,7 +125,7 @@
         fleet = new Fleet(connections::forget);
         RepeatBudgets repeats = new RepeatBudgets(settings.bounds(), peers::count);
         TrafficParts parts = new TrafficParts(
-                trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, accounts, repeats, usage, metrics);
+                trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, accounts, repeats, usage, demands, metrics);
         gateway = new Gateway(parts, new HttpCaller(trafficLoop, connections));
         ConnectionPool controlConnections = new ConnectionPool(controlLoop, CONNECT_MILLIS, clockMillis);
         control = new Control(
@@ -144,14 +153,14 @@
                 trafficLoop,
                 new InetSocketAddress(settings.ip(), metricsPort),
                 query -> SmallAnswer.text(READY, new String(metrics.scrape(), java.nio.charset.StandardCharsets.UTF_8))));
-        Gossiper[] gossiper = new Gossiper[1];
         GossipSocket socket = closer.add(new GossipSocket(
-                trafficLoop, socketAddress(self.peerAddress()), gossip -> gossiper[0].heard(gossip)));
-        gossiper[0] = new Gossiper(self, socket, peers, fleet, accounts, this::isReady, clockMillis);
+                trafficLoop, socketAddress(self.peerAddress()), gossip -> gossiper.heard(gossip)));
+        gossiper = new Gossiper(self, socket, peers, fleet, accounts, demands, this::isReady, clockMillis);
         trafficLoop.scheduleWithFixedDelay(
-                gossiper[0]::tell, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
+                gossiper::tell, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
                 () -> handUsageOver(wallMillis.getAsLong()), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
+        trafficLoop.scheduleWithFixedDelay(this::tellDemand, DEMAND_MILLIS, DEMAND_MILLIS, TimeUnit.MILLISECONDS);
         controlLoop.execute(control::start);
         Event started = Event.of("started").with("born", self.bornMillis());
         settings.summary().forEach(started::with);
@@ -221,6 +230,11 @@
         }
     }
 
+    private void tellDemand() {
+        Map<PoolId, PoolDemand> sample = demands.sample(fleet, clockMillis.getAsLong());
+        controlLoop.execute(() -> control.demanded(sample));
+    }
+
     private static InetSocketAddress socketAddress(String address) {
         int colon = address.lastIndexOf(':');
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
@@ -235,7 +249,7 @@
         public void onDeployment(Deployment deployment) {
             trafficLoop.execute(() -> {
                 gateway.apply(deployment);
-                fleet.apply(endpoints, deployment);
+                fleet.apply(endpoints, deployment, clockMillis.getAsLong());
                 metrics.version(deployment.version());
             });
         }
@@ -245,10 +259,15 @@
             trafficLoop.execute(() -> {
                 endpoints = now;
                 listed = true;
-                gateway.deployment().ifPresent(deployment -> fleet.apply(now, deployment));
+                gateway.deployment().ifPresent(deployment -> fleet.apply(now, deployment, clockMillis.getAsLong()));
             });
         }
 
+        @Override
+        public void onChanging(Collection<EndpointId> changing) {
+            trafficLoop.execute(() -> gossiper.changing(changing));
+        }
+
         @Override
         public void onDaemons(Collection<Daemon> daemons) {
             trafficLoop.execute(() -> peers.apply(daemons));
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.lang.System.Logger;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,11 +17,16 @@
 import org.ragwortpitch.contract.StoreForm;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.Deployment;
+import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.HttpCaller;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.scaling.EngineCount;
+import org.ragwortpitch.scaling.PoolDemand;
 
 /**
  * Follows the store for the rest of the daemon, lists the daemon there, and carries duties out. Its methods may be
@@ -47,6 +53,7 @@
     private final Map<InstanceId, Daemon> daemons = new HashMap<>();
     private final UsageDesk usage;
     private final DutyDesk duties;
+    private Map<PoolId, PoolDemand> demands = Map.of();
     private Deployment deployment;
 
     /**
@@ -89,12 +96,24 @@
         return (token, refused) -> {
             reporter.step(token, wallMillis.getAsLong(), refused);
             if (deployment != null) {
-                fleet.step(token, deployment, endpoints.endpoints());
-                roles.step(token, deployment, endpoints.endpoints());
+                deployment.pools().forEach(pool -> stepEngines(token, pool, fleet, roles));
             }
         };
     }
 
+    private void stepEngines(long token, Pool pool, FleetDesk fleet, RoleDesk roles) {
+        Collection<Endpoint> listed = endpoints.endpoints();
+        if (pool.engine().isEmpty() || listed.stream().noneMatch(engine -> engine.pool().equals(pool.id()))) {
+            return;
+        }
+        PoolDemand demand = demands.getOrDefault(pool.id(), new PoolDemand(0, 0));
+        pool.scaling().ifPresent(spec -> {
+            EngineCount count = fleet.step(token, pool.id(), spec, listed, demand);
+            roles.step(token, pool.id(), pool.engine().get(), listed, count.decoders());
+            listener.onChanging(roles.changing());
+        });
+    }
+
     /**
      * Begins to follow the store.
      */
@@ -115,6 +134,13 @@
         usage.counted(windows);
     }
 
+    /**
+     * Takes over what is asked of pools of engines.
+     */
+    public void demanded(Map<PoolId, PoolDemand> now) {
+        demands = now;
+    }
+
     /**
      * Gives duties up.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
@@ -4,6 +4,7 @@
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.identity.EndpointId;
 
 /**
  * Hears of what the store holds, on the control thread.
@@ -20,6 +21,11 @@
      */
     void onEndpoints(Collection<Endpoint> endpoints);
 
+    /**
+     * The endpoints that change their role by this daemon's orders now.
+     */
+    void onChanging(Collection<EndpointId> changing);
+
     /**
      * The other daemons that are listed now.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
@@ -4,20 +4,22 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.ragwortpitch.contract.DutyForm;
 import org.ragwortpitch.contract.HttpCall;
-import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
-import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.deployment.ScalingSpec;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.scaling.DomainFleet;
+import org.ragwortpitch.scaling.EngineCount;
+import org.ragwortpitch.scaling.EngineNeed;
 import org.ragwortpitch.scaling.FleetPlanner;
+import org.ragwortpitch.scaling.PoolDemand;
 
 /**
  * The holder's part of fleets: orders as many endpoints as the plan says. Confined to the control thread.
@@ -32,13 +34,20 @@
     /** Readers for each engine that operators have running at first: prompts are read anew while caches are cold. */
     private static final double FIRST_READERS_SHARE = 1.4;
 
+    /** An order is repeated after this time, in milliseconds, where engines that leave take the room of new ones. */
+    private static final long ROOM_MILLIS = 1_200;
+
+    /** For how long a failure domain counts as without engines to be had, in milliseconds, after it had none. */
+    private static final long NONE_MILLIS = 3_000;
+
     private static final int CONFLICT = 409;
 
     private final PlatformCalls platform;
     private final InstanceId self;
     private final LongSupplier clockMillis;
     private final Map<Subject, Order> orders = new HashMap<>();
-    private final Map<PoolId, Integer> needed = new HashMap<>();
+    private final Map<Subject, Long> noneUntilMillis = new HashMap<>();
+    private final Map<PoolId, EngineNeed> needs = new HashMap<>();
 
     FleetDesk(PlatformCalls platform, InstanceId self, LongSupplier clockMillis) {
         this.platform = platform;
@@ -48,33 +57,44 @@
 
     /**
      * Orders what the plan says and isn't there.
+     *
+     * @return how many engines of each role the pool needs
      */
-    void step(long fencingToken, Deployment deployment, Collection<Endpoint> endpoints) {
-        for (Pool pool : deployment.pools()) {
-            pool.scaling().ifPresent(spec -> step(fencingToken, pool, spec, endpoints));
-        }
-    }
-
-    private void step(long fencingToken, Pool pool, ScalingSpec spec, Collection<Endpoint> endpoints) {
-        Map<FailureDomain, DomainFleet> now = present(pool.id(), endpoints);
-        if (now.isEmpty()) {
-            return;
-        }
-        int load = needed.computeIfAbsent(
-                pool.id(), id -> firstReaders(now.values().stream().mapToInt(DomainFleet::total).sum()));
-        FleetPlanner.plan(spec, load, now).forEach((domain, plan) -> {
+    EngineCount step(
+            long fencingToken, PoolId pool, ScalingSpec spec, Collection<Endpoint> endpoints, PoolDemand demand) {
+        Map<FailureDomain, DomainFleet> now = present(pool, spec, endpoints);
+        long nowMillis = clockMillis.getAsLong();
+        EngineNeed need = needs.computeIfAbsent(pool, id -> new EngineNeed(firstReaders(now.values())));
+        EngineCount count = need.count(demand, now.size(), nowMillis);
+        Set<FailureDomain> without = now.keySet().stream()
+                .filter(domain -> noneUntilMillis.getOrDefault(new Subject(pool, domain, true), 0L) > nowMillis)
+                .collect(Collectors.toSet());
+        Set<FailureDomain> leaving = endpoints.stream()
+                .filter(endpoint -> endpoint.pool().equals(pool) && endpoint.leaving())
+                .map(Endpoint::domain)
+                .collect(Collectors.toSet());
+        FleetPlanner.plan(spec, count.total(), now, without, need.isAsked()).forEach((domain, plan) -> {
             DomainFleet there = now.get(domain);
-            order(fencingToken, new Subject(pool.id(), domain, true), plan.reclaimable(), there.reclaimable(), spec);
-            order(fencingToken, new Subject(pool.id(), domain, false), plan.firm(), there.firm(), spec);
+            boolean making = plan.firm() < there.firm() || leaving.contains(domain);
+            long lateMillis = making ? ROOM_MILLIS : spec.bootMillis() + LATE_MILLIS;
+            order(fencingToken, new Subject(pool, domain, false), plan.firm(), there.firm(), lateMillis);
+            order(fencingToken, new Subject(pool, domain, true), plan.reclaimable(), there.reclaimable(), lateMillis);
         });
+        return count;
     }
 
-    private static int firstReaders(int there) {
-        return Math.max(1, (int) Math.ceil(there * FIRST_READERS_SHARE));
+    private static int firstReaders(Collection<DomainFleet> fleets) {
+        int reclaimable = fleets.stream().mapToInt(DomainFleet::reclaimable).sum();
+        int there = fleets.stream().mapToInt(DomainFleet::total).sum();
+        // Where reclaimable ones are, a holder before has planned already.
+        return reclaimable > 0 ? there : (int) Math.ceil(there * FIRST_READERS_SHARE);
     }
 
-    private static Map<FailureDomain, DomainFleet> present(PoolId pool, Collection<Endpoint> endpoints) {
+    private static Map<FailureDomain, DomainFleet> present(
+            PoolId pool, ScalingSpec spec, Collection<Endpoint> endpoints) {
         Map<FailureDomain, DomainFleet> now = new HashMap<>();
+        // A domain whose engines were all taken back has none listed, and still can be ordered from.
+        spec.prices().keySet().forEach(domain -> now.put(domain, new DomainFleet(0, 0)));
         for (Endpoint endpoint : endpoints) {
             if (endpoint.pool().equals(pool)) {
                 int counted = endpoint.leaving() ? 0 : 1;
@@ -88,11 +108,12 @@
         return now;
     }
 
-    private void order(long fencingToken, Subject subject, int wanted, int there, ScalingSpec spec) {
+    private void order(long fencingToken, Subject subject, int wanted, int there, long lateMillis) {
         Order last = orders.get(subject);
         long now = clockMillis.getAsLong();
         boolean same = last != null && last.count() == wanted;
-        boolean waiting = same && now - last.atMillis() < spec.bootMillis() + LATE_MILLIS;
+        boolean none = noneUntilMillis.getOrDefault(subject, 0L) > now;
+        boolean waiting = none || same && now - last.atMillis() < lateMillis;
         if (wanted == there && (last == null || same) || waiting) {
             return;
         }
@@ -104,6 +125,7 @@
                 "order " + subject + " " + wanted + " of " + there,
                 answer -> {
                     if (answer.status() == CONFLICT) {
+                        noneUntilMillis.put(subject, clockMillis.getAsLong() + NONE_MILLIS);
                         Event.of("order-refused")
                                 .with("subject", subject)
                                 .with("answer", new String(answer.body(), java.nio.charset.StandardCharsets.UTF_8))
@@ -113,13 +135,6 @@
                 () -> orders.remove(subject));
     }
 
-    /**
-     * Tells the endpoints that a pool is taken to need.
-     */
-    Optional<Integer> needed(PoolId pool) {
-        return Optional.ofNullable(needed.get(pool));
-    }
-
     /**
      * What orders are about.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Accounts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Accounts.java
@@ -60,7 +60,7 @@
         if (bucket == null || bucket.trySpend(tokens, nowMillis)) {
             return 0;
         }
-        return Math.max(1, bucket.waitMillis(nowMillis));
+        return Math.max(1, bucket.refused(tokens, nowMillis));
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.EngineSpec;
 import org.ragwortpitch.deployment.PromptPart;
@@ -17,14 +18,20 @@
     /** Parts that are told to other daemons at once, at most; keeps a datagram well below its limit. */
     private static final int MAX_SENT_PARTS = 64;
 
+    /** Within this time of its listing a new engine is ordered to another role if it gets one, in milliseconds. */
+    private static final long SETTLING_MILLIS = 1_500;
+
     private final List<PromptPart> sentParts = new ArrayList<>();
     private final HealthScore health = new HealthScore();
     private final Engine engine;
     private Endpoint endpoint;
+    private final long listedMillis;
+    private long avoidUntilMillis;
     private int running;
     private long heardMillis;
 
-    EndpointState(Endpoint endpoint, Optional<EngineSpec> spec) {
+    EndpointState(Endpoint endpoint, Optional<EngineSpec> spec, long nowMillis) {
+        this.listedMillis = nowMillis;
         this.endpoint = endpoint;
         this.engine = spec.map(known -> new Engine(endpoint, known)).orElse(null);
     }
@@ -36,6 +43,24 @@
         }
     }
 
+    /**
+     * Notes that it serves nothing for a while.
+     */
+    void avoid(long untilMillis) {
+        avoidUntilMillis = untilMillis;
+    }
+
+    boolean isAvoided(long nowMillis) {
+        return nowMillis < avoidUntilMillis;
+    }
+
+    /**
+     * Tells whether it was listed just now as one that makes tokens: its role may change at once.
+     */
+    boolean isSettling(long nowMillis) {
+        return endpoint.role() == EndpointRole.DECODE && nowMillis - listedMillis < SETTLING_MILLIS;
+    }
+
     Endpoint endpoint() {
         return endpoint;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -5,11 +5,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.lang.System.Logger;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.contract.EngineForm;
 import org.ragwortpitch.contract.Headers;
 import org.ragwortpitch.deployment.AccountSpec;
@@ -56,6 +58,12 @@
     /** How long freeing unused memory may take, in milliseconds; it lapses by itself a little later. */
     private static final long FREE_MILLIS = 1_000;
 
+    /** The sends of a repeat: the prompt is read anew, then the tokens are made. */
+    private static final int READ_AND_DECODE = 2;
+
+    /** How long an engine that refused a request gets no more, in milliseconds: a part of a change of its role. */
+    private static final long REFUSED_MILLIS = 600;
+
     private static final int LEAST_URGENT = 9;
 
     private final TrafficParts parts;
@@ -71,6 +79,7 @@
     private int ranAt;
     private long lastEvent;
     private Placement placement;
+    private String memory = "";
     private Runnable pendingFree = () -> {};
     private long readTokens;
     private long readBacklog;
@@ -126,6 +135,8 @@
             return;
         }
         placement = choice.get();
+        Engine reads = placement.reader().orElse(placement.decoder());
+        parts.demands().read(pool, EngineEstimate.uncachedTokens(reads, generation));
         long patience = Math.min(exchange.remainingMillis(now), patienceMillis());
         if (ranAt == 0 && placement.firstMillis() > patience) {
             giveUp("the first event would take " + (long) placement.firstMillis() + " of " + patience + " ms");
@@ -148,7 +159,7 @@
         readEstimate = EngineEstimate.readMillis(reader, generation);
         PromptRead read = new PromptRead(
                 state, generation.promptTokens(), uncached, handle -> handedOver(state, handle), reason -> {
-                    state.health().failed(false, now());
+                    state.health().refused(REFUSED_MILLIS, now());
                     readFailed(reason);
                 });
         current = read;
@@ -177,7 +188,8 @@
         }
         reader.health().succeeded();
         reader.heard(now());
-        decode(EngineForm.memoryFrom(reader.endpoint().address(), handle), now());
+        memory = EngineForm.memoryFrom(reader.endpoint().address(), handle);
+        decode(memory, now());
     }
 
     private void readFailed(String reason) {
@@ -288,8 +300,11 @@
         if (exchange.isDone()) {
             return;
         }
+        run.target().health().refused(REFUSED_MILLIS, now());
         tried.add(run.target().endpoint().id());
-        again("refused unrun with " + status, true);
+        if (!decodeElsewhere("refused unrun with " + status)) {
+            again("refused unrun with " + status, true);
+        }
     }
 
     @Override
@@ -326,16 +341,40 @@
         }
     }
 
+    /**
+     * Has another engine take memory over that the first one refused.
+     *
+     * @return whether there was such memory and an engine for it
+     */
+    private boolean decodeElsewhere(String reason) {
+        long now = now();
+        Optional<EndpointState> other = parts.fleet().usable(pool, tried, now).stream()
+                .filter(state -> state.endpoint().role() == EndpointRole.DECODE)
+                .min(Comparator.comparingInt(state -> state.engine().totalRunning()));
+        if (memory.isEmpty() || other.isEmpty() || sends >= MAX_SENDS || !parts.repeats().tryRepeat(pool, 1, now)) {
+            return false;
+        }
+        Event.of("hand-over-elsewhere")
+                .with("request", exchange.attemptId())
+                .with("reason", reason)
+                .with("decoder", other.get().endpoint().id())
+                .info(LOGGER);
+        placement = new Placement(other.get().engine(), placement.reader(), placement.firstMillis());
+        decode(memory, now);
+        return true;
+    }
+
     private boolean mayRunElsewhere() {
         return exchange.route().resumable() && ranAt < exchange.route().maxEndpoints();
     }
 
     private void again(String reason, boolean arrived) {
         freePending();
+        memory = "";
         long now = now();
         boolean allowed = sends < MAX_SENDS
                 && exchange.remainingMillis(now) > 0
-                && (!arrived || parts.repeats().tryRepeat(pool, now));
+                && (!arrived || parts.repeats().tryRepeat(pool, READ_AND_DECODE, now));
         Event.of("send-again")
                 .with("request", exchange.attemptId())
                 .with("reason", reason)
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Fleet.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -37,7 +38,7 @@
     /**
      * Takes a new list of endpoints over; what is known of lives that go on is kept.
      */
-    public void apply(Collection<Endpoint> listed, Deployment deployment) {
+    public void apply(Collection<Endpoint> listed, Deployment deployment, long nowMillis) {
         Map<EndpointId, EndpointState> next = new HashMap<>();
         for (Endpoint endpoint : listed) {
             EndpointState known = states.get(endpoint.id());
@@ -49,7 +50,8 @@
                 event("endpoint-listed", endpoint).info(LOGGER);
                 next.put(
                         endpoint.id(),
-                        new EndpointState(endpoint, deployment.pool(endpoint.pool()).flatMap(Pool::engine)));
+                        new EndpointState(
+                                endpoint, deployment.pool(endpoint.pool()).flatMap(Pool::engine), nowMillis));
             }
         }
         states.forEach((id, state) -> {
@@ -74,11 +76,20 @@
                         && !excluded.contains(state.endpoint().id()))
                 .toList();
         List<EndpointState> healthy = staying.stream()
-                .filter(state -> state.health().isUsable(nowMillis))
+                .filter(state -> state.health().isUsable(nowMillis)
+                        && !state.isAvoided(nowMillis)
+                        && !state.isSettling(nowMillis))
                 .toList();
         return healthy.isEmpty() ? staying : healthy;
     }
 
+    /**
+     * Leaves endpoints alone that serve nothing for a while.
+     */
+    public void avoid(Collection<EndpointId> endpoints, long untilMillis) {
+        endpoints.stream().map(states::get).filter(Objects::nonNull).forEach(state -> state.avoid(untilMillis));
+    }
+
     /**
      * Tells all endpoints that are known.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.edge.traffic;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -11,10 +12,12 @@
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.placement.PeerLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.AccountSpend;
 import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
+import org.ragwortpitch.wire.generated.GossipProtocol.PoolReading;
 
 /**
  * Tells the other daemons what this one has spent and has under way, and takes over what they tell. Confined to the
@@ -22,13 +25,18 @@
  */
 public final class Gossiper {
 
+    /** For how long an endpoint that is said to change is left alone, in milliseconds; it is said again meanwhile. */
+    private static final long CHANGING_MILLIS = 700;
+
     private final Daemon self;
     private final GossipSocket socket;
     private final PeerView peers;
     private final Fleet fleet;
     private final Accounts accounts;
+    private final Demands demands;
     private final BooleanSupplier ready;
     private final LongSupplier clockMillis;
+    private Collection<EndpointId> changing = List.of();
     private long sequence;
 
     /**
@@ -42,6 +50,7 @@
             PeerView peers,
             Fleet fleet,
             Accounts accounts,
+            Demands demands,
             BooleanSupplier ready,
             LongSupplier clockMillis) {
         this.self = self;
@@ -49,6 +58,7 @@
         this.peers = peers;
         this.fleet = fleet;
         this.accounts = accounts;
+        this.demands = demands;
         this.ready = ready;
         this.clockMillis = clockMillis;
     }
@@ -82,10 +92,23 @@
             accounts.peerSpent(
                     peer, gossip.getBornMillis(), new AccountId(spend.getAccount()), spend.getTokens(), now);
         }
+        for (PoolReading reading : gossip.getReadingsList()) {
+            demands.peer(peer, gossip.getBornMillis(), new PoolId(reading.getPool()), reading.getTokens());
+        }
+        fleet.avoid(
+                gossip.getChangingList().stream().map(EndpointId::new).toList(), now + CHANGING_MILLIS);
         forget(peer);
         gossip.getLoadsList().forEach(load -> apply(peer, load));
     }
 
+    /**
+     * Sets the endpoints that change their role now.
+     */
+    public void changing(Collection<EndpointId> endpoints) {
+        changing = List.copyOf(endpoints);
+        fleet.avoid(changing, clockMillis.getAsLong() + CHANGING_MILLIS);
+    }
+
     private void apply(InstanceId peer, EngineLoad load) {
         EndpointState state = fleet.find(new EndpointId(load.getEndpoint()));
         if (state == null || state.engine() == null) {
@@ -113,6 +136,9 @@
                 .setReady(ready.getAsBoolean());
         accounts.eachSpent((account, tokens) -> gossip.addSpends(
                 AccountSpend.newBuilder().setAccount(account.value()).setTokens(tokens)));
+        changing.forEach(endpoint -> gossip.addChanging(endpoint.value()));
+        demands.eachOwn((pool, tokens) -> gossip.addReadings(
+                PoolReading.newBuilder().setPool(pool.value()).setTokens(tokens)));
         fleet.all().forEach(state -> addLoad(gossip, state));
         return gossip.build();
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RepeatBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RepeatBudgets.java
@@ -35,9 +35,11 @@
 
     /**
      * Asks for a repeat.
+     *
+     * @param sends the sends that it takes
      */
-    boolean tryRepeat(PoolId pool, long nowMillis) {
-        return budget(pool).tryRepeat(daemons.getAsInt(), nowMillis);
+    boolean tryRepeat(PoolId pool, int sends, long nowMillis) {
+        return budget(pool).tryRepeat(sends, daemons.getAsInt(), nowMillis);
     }
 
     private RepeatBudget budget(PoolId pool) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -45,6 +45,9 @@
     /** Retry-After of a refusal, in milliseconds: a few times the work of a request, so that places are free again. */
     private static final long RETRY_AFTER_MILLIS = 150;
 
+    /** How long an endpoint that refused a request gets no more, in milliseconds: about one request's work. */
+    private static final long REFUSED_MILLIS = 25;
+
     /** How long an idle connection is used for a request that mustn't be sent twice, in milliseconds. */
     private static final long FRESH_MILLIS = 2_000;
 
@@ -125,7 +128,7 @@
         long now = now();
         boolean allowed = sends < MAX_SENDS
                 && exchange.remainingMillis(now) > 0
-                && (!arrived || parts.repeats().tryRepeat(pool, now));
+                && (!arrived || parts.repeats().tryRepeat(pool, 1, now));
         Event.of("send-again")
                 .with("request", exchange.attemptId())
                 .with("reason", reason)
@@ -195,6 +198,7 @@
                 return;
             }
             if (headers.contains(Headers.NOT_RUN)) {
+                target.health().refused(REFUSED_MILLIS, now());
                 retryOrGiveUp("refused unrun with " + status, true);
                 return;
             }
@@ -235,7 +239,7 @@
         }
 
         private void silent() {
-            if (ended || exchange.isDone() || !parts.repeats().tryRepeat(pool, now())) {
+            if (ended || exchange.isDone() || !parts.repeats().tryRepeat(pool, 1, now())) {
                 return;
             }
             sent.cancel();
@@ -256,7 +260,7 @@
          */
         private void pendingError(int errorStatus, HttpHeaders errorHeaders, ByteBuf errorBody) {
             long now = now();
-            if (sends < MAX_SENDS && choose(now).isPresent() && parts.repeats().tryRepeat(pool, now)) {
+            if (sends < MAX_SENDS && choose(now).isPresent() && parts.repeats().tryRepeat(pool, 1, now)) {
                 send(now);
             } else {
                 exchange.pass(errorStatus, errorHeaders, errorBody);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
@@ -25,4 +25,5 @@
         Accounts accounts,
         RepeatBudgets repeats,
         WindowCounts usage,
+        Demands demands,
         EdgeMetrics metrics) {}
--- a/policy/src/main/java/org/ragwortpitch/allowance/RepeatBudget.java
+++ b/policy/src/main/java/org/ragwortpitch/allowance/RepeatBudget.java
@@ -40,17 +40,20 @@
     }
 
     /**
-     * Asks for a repeat.
+     * Asks for repeats.
      *
+     * @param sends   the sends that the repeat takes
      * @param daemons the daemons that share the slack
      */
-    public boolean tryRepeat(int daemons, long nowMillis) {
+    public boolean tryRepeat(int sends, int daemons, long nowMillis) {
         forget(nowMillis);
         double allowed = USED_SHARE * (ratio * requests.size() + slack / Math.max(1, daemons));
-        if (repeats.size() + 1 > allowed) {
+        if (repeats.size() + sends > allowed) {
             return false;
         }
-        repeats.add(nowMillis);
+        for (int send = 0; send < sends; send++) {
+            repeats.add(nowMillis);
+        }
         return true;
     }
 
--- a/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
+++ b/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
@@ -17,6 +17,7 @@
     private double tokensPerSecond;
     private double burstTokens;
     private double level;
+    private double promisedTokens;
     private double share = 1;
     private long updatedMillis;
     private long spentTokens;
@@ -93,14 +94,14 @@
     }
 
     /**
-     * Tells how long until something can be spent, in milliseconds.
+     * Notes a request that was refused, and tells when it may be let through, in milliseconds: after all that were
+     * refused before it have had their turn.
      */
-    public long waitMillis(long nowMillis) {
+    public long refused(long tokens, long nowMillis) {
         refill(nowMillis);
-        if (level > 0) {
-            return 0;
-        }
-        return (long) Math.ceil((1 - level) * MILLIS_PER_SECOND / Math.max(1, tokensPerSecond * share));
+        double turnTokens = 1 - Math.min(0, level) + promisedTokens;
+        promisedTokens += tokens;
+        return (long) Math.ceil(turnTokens * MILLIS_PER_SECOND / Math.max(1, tokensPerSecond * share));
     }
 
     /**
@@ -113,7 +114,9 @@
     private void refill(long nowMillis) {
         double elapsedMillis = Math.max(0, nowMillis - updatedMillis);
         updatedMillis = Math.max(updatedMillis, nowMillis);
-        level = Math.min(burstTokens, level + elapsedMillis * tokensPerSecond * share / MILLIS_PER_SECOND);
+        double refilled = elapsedMillis * tokensPerSecond * share / MILLIS_PER_SECOND;
+        level = Math.min(burstTokens, level + refilled);
+        promisedTokens = Math.max(0, promisedTokens - refilled);
     }
 
     /**
--- a/policy/src/main/java/org/ragwortpitch/health/HealthScore.java
+++ b/policy/src/main/java/org/ragwortpitch/health/HealthScore.java
@@ -43,6 +43,15 @@
         }
     }
 
+    /**
+     * Notes that a request was refused before it ran: the endpoint is full, changing or leaving.
+     *
+     * @param pauseMillis for how long it gets no more, in milliseconds
+     */
+    public void refused(long pauseMillis, long nowMillis) {
+        restUntilMillis = Math.max(restUntilMillis, nowMillis + pauseMillis);
+    }
+
     /**
      * Notes that a request is sent; after a rest it is a trial, and no other is sent beside it.
      */
--- a/policy/src/main/java/org/ragwortpitch/scaling/FleetPlanner.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/FleetPlanner.java
@@ -1,45 +1,78 @@
 package org.ragwortpitch.scaling;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.ragwortpitch.deployment.ScalingSpec;
 import org.ragwortpitch.identity.FailureDomain;
 
 /**
- * Plans how many engines a pool has in each failure domain. Firm ones make tokens, since a stream that breaks off is
- * dear; reclaimable ones, which cost a fraction, read prompts. All reclaimable ones of a domain may go at once, so that
- * those of the other domains have to carry the load.
+ * Plans how many engines a pool has in each failure domain. Reclaimable ones cost a fraction, and their notice is
+ * longer than a usual stream, so that they do nearly all the work. One firm engine in the cheapest failure domain stays
+ * always; further ones stand in where reclaimable ones are not to be had.
  */
 public final class FleetPlanner {
 
-    /** Firm engines of each failure domain, so that streams go on while nothing else can be had. */
-    private static final int FIRM_EACH = 1;
-
     private FleetPlanner() {}
 
     /**
      * Plans the fleet.
      *
-     * @param readers the engines that carry the reading of prompts
-     * @param now     what is there now; failure domains without engines may be left out
+     * @param engines the engines that carry the load
+     * @param now     what is there now, in each failure domain that can be ordered from
+     * @param without the failure domains where no reclaimable engine is to be had
+     * @param serving whether callers were seen yet; before, firm engines needn't wait for those that replace them
      */
     public static Map<FailureDomain, DomainFleet> plan(
-            ScalingSpec spec, int readers, Map<FailureDomain, DomainFleet> now) {
+            ScalingSpec spec,
+            int engines,
+            Map<FailureDomain, DomainFleet> now,
+            Set<FailureDomain> without,
+            boolean serving) {
+        List<FailureDomain> byPrice = now.keySet().stream()
+                .sorted(Comparator.<FailureDomain>comparingDouble(
+                                domain -> spec.prices().getOrDefault(domain, 1.0))
+                        .thenComparing(FailureDomain::value))
+                .toList();
+        long open = byPrice.stream().filter(domain -> !without.contains(domain)).count();
+        int each = spec.spotPrice() <= 0 || open == 0
+                ? spec.min()
+                : (int) Math.max(spec.min(), Math.min(spec.max(), (engines + open - 1) / open));
+        boolean enough = now.values().stream().mapToInt(DomainFleet::total).sum() >= engines;
+        Map<FailureDomain, Integer> firm = firm(spec, byPrice, each, engines, without);
         Map<FailureDomain, DomainFleet> plan = new HashMap<>();
-        int carrying = Math.max(1, now.size() - 1);
-        int each = Math.max(spec.min(), Math.min(spec.max(), FIRM_EACH + (readers + carrying - 1) / carrying));
-        now.forEach((domain, fleet) -> plan.put(domain, domainPlan(spec, each, fleet)));
+        now.forEach((domain, fleet) -> {
+            int wantedFirm = firm.get(domain);
+            int stayingFirm = serving && !enough ? Math.max(wantedFirm, fleet.firm()) : wantedFirm;
+            int reclaimable = spec.spotPrice() <= 0 ? 0 : each - (domain.equals(byPrice.get(0)) ? 1 : 0);
+            int staying = enough ? reclaimable : Math.max(reclaimable, fleet.reclaimable());
+            plan.put(domain, new DomainFleet(stayingFirm, Math.max(0, Math.min(staying, spec.max() - stayingFirm))));
+        });
         return plan;
     }
 
-    private static DomainFleet domainPlan(ScalingSpec spec, int each, DomainFleet now) {
-        if (spec.spotPrice() <= 0) {
-            return new DomainFleet(each, 0);
+    /**
+     * Gives the firm ones that are needed to the cheapest failure domains with room for them.
+     */
+    private static Map<FailureDomain, Integer> firm(
+            ScalingSpec spec, List<FailureDomain> byPrice, int each, int engines, Set<FailureDomain> without) {
+        Map<FailureDomain, Integer> firm = new HashMap<>();
+        int missing = engines;
+        for (FailureDomain domain : byPrice) {
+            int floor = domain.equals(byPrice.get(0)) ? 1 : 0;
+            firm.put(domain, floor);
+            boolean open = spec.spotPrice() > 0 && !without.contains(domain);
+            missing -= open ? each : floor;
+        }
+        for (FailureDomain domain : byPrice) {
+            boolean open = spec.spotPrice() > 0 && !without.contains(domain);
+            int room = spec.max() - (open ? each : firm.get(domain));
+            int more = Math.max(0, Math.min(missing, room));
+            firm.merge(domain, more, Integer::sum);
+            missing -= more;
         }
-        int floor = Math.min(each, FIRM_EACH);
-        int reclaimable = each - floor;
-        // A firm one goes only once a reclaimable one has come for it.
-        int firm = Math.max(floor, Math.min(now.firm(), each - now.reclaimable()));
-        return new DomainFleet(firm, Math.min(reclaimable, spec.max() - firm));
+        return firm;
     }
 }
