--- a/policy/src/main/java/org/ragwortpitch/scaling/RolePlan.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/RolePlan.java
@@ -27,7 +27,7 @@
      *
      * @param engines  the engines of a pool that stay
      * @param decoders how many have to make tokens at most; no more than a third does
-     * @param fresh    engines that have served nothing yet; others that make tokens go on, unless too few read
+     * @param fresh    engines that have served nothing yet; others that make tokens go on, unless more than twice as many do as have to
      * @return the new role of each engine that changes
      */
     public static Map<Endpoint, EndpointRole> changes(
@@ -38,11 +38,15 @@
                 .thenComparing(Endpoint::id));
         List<Endpoint> order = spread(byChoice);
         int wanted = Math.max(1, Math.min(decoders, order.size() / LEAST_READERS_EACH));
+        boolean tooMany = engines.stream()
+                        .filter(engine -> engine.role() == EndpointRole.DECODE)
+                        .count()
+                > 2L * wanted;
         Map<Endpoint, EndpointRole> changes = new HashMap<>();
         for (int index = 0; index < order.size(); index++) {
             EndpointRole role = index < wanted ? EndpointRole.DECODE : EndpointRole.PREFILL;
             Endpoint engine = order.get(index);
-            boolean worthwhile = role == EndpointRole.DECODE || fresh.test(engine) || index >= 2 * wanted;
+            boolean worthwhile = role == EndpointRole.DECODE || fresh.test(engine) || tooMany;
             if (engine.role() != role && worthwhile) {
                 changes.put(engine, role);
             }
--- /dev/null
+++ b/policy/src/test/java/org/ragwortpitch/allowance/RepeatBudgetTest.java
@@ -0,0 +1,50 @@
+package org.ragwortpitch.allowance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests how often requests are sent again.
+ */
+class RepeatBudgetTest {
+
+    private final RepeatBudget budget = new RepeatBudget(0.2, 50, 10_000);
+
+    private int allowed(int tries, int daemons, long nowMillis) {
+        int allowed = 0;
+        for (int index = 0; index < tries; index++) {
+            allowed += budget.tryRepeat(1, daemons, nowMillis) ? 1 : 0;
+        }
+        return allowed;
+    }
+
+    @Test
+    void testSlackIsShared() {
+        assertEquals(8, allowed(100, 5, 0), "four fifths of a fifth of 50");
+    }
+
+    @Test
+    void testRepeatsFollowRequests() {
+        for (int index = 0; index < 100; index++) {
+            budget.request(0);
+        }
+        assertEquals(24, allowed(100, 5, 0));
+    }
+
+    @Test
+    void testSpanSlides() {
+        allowed(100, 5, 0);
+        assertFalse(budget.tryRepeat(1, 5, 10_000));
+        assertTrue(budget.tryRepeat(1, 5, 10_001));
+    }
+
+    @Test
+    void testRepeatOfTwoSendsNeedsRoomForBoth() {
+        assertEquals(7, allowed(7, 5, 0));
+        assertFalse(budget.tryRepeat(2, 5, 0));
+        assertTrue(budget.tryRepeat(1, 5, 0));
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/ragwortpitch/ledger/UsageJournalTest.java
@@ -0,0 +1,62 @@
+package org.ragwortpitch.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.ragwortpitch.identity.AccountId;
+
+/**
+ * Tests that a window has one set of figures.
+ */
+class UsageJournalTest {
+
+    private static final AccountId PAWS = new AccountId("paws");
+
+    private final UsageJournal journal = new UsageJournal();
+
+    private static UsageEntry counted(String writer, int part, long count) {
+        return new UsageEntry(5, writer, part, false, Map.of(PAWS, count));
+    }
+
+    private static UsageEntry frozen(long count) {
+        return new UsageEntry(5, "holder", 0, true, Map.of(PAWS, count));
+    }
+
+    @Test
+    void testEntryWrittenTwiceCountsOnce() {
+        journal.apply(counted("a-1", 0, 3));
+        journal.apply(counted("a-1", 0, 3));
+        journal.apply(counted("a-1", 1, 2));
+        journal.apply(counted("b-1", 0, 4));
+        assertEquals(Map.of(PAWS, 9L), journal.counted(5));
+    }
+
+    @Test
+    void testFirstFrozenFiguresStand() {
+        journal.apply(counted("a-1", 0, 3));
+        journal.apply(frozen(3));
+        journal.apply(counted("b-1", 0, 4));
+        journal.apply(frozen(7));
+        assertEquals(Optional.of(Map.of(PAWS, 3L)), journal.frozen(5));
+    }
+
+    @Test
+    void testOldWindowsAreForgotten() {
+        journal.apply(frozen(3));
+        journal.apply(new UsageEntry(500, "a-1", 0, false, Map.of()));
+        assertTrue(journal.frozen(5).isEmpty());
+    }
+
+    @Test
+    void testCountsGoToTheWindowOfTheirTime() {
+        WindowCounts counts = new WindowCounts(5_000);
+        counts.began(PAWS, 9_999);
+        counts.began(PAWS, 10_000);
+        assertEquals(Map.of(1L, Map.of(PAWS, 1L)), counts.takeEnded(10_000));
+        assertEquals(Map.of(), counts.takeEnded(14_999));
+        assertEquals(Map.of(2L, Map.of(PAWS, 1L)), counts.takeEnded(15_000));
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
@@ -0,0 +1,132 @@
+package org.ragwortpitch.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.ragwortpitch.configuration.EndpointRole;
+import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.EngineSpec;
+import org.ragwortpitch.deployment.Generation;
+import org.ragwortpitch.deployment.PromptPart;
+import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.identity.PoolId;
+
+/**
+ * Tests where generations go: the pattern is many subjects with a long shared prompt and a short part of their own.
+ */
+class EngineChooserTest {
+
+    private static final FailureDomain HERE = new FailureDomain("here");
+
+    private static final FailureDomain THERE = new FailureDomain("there");
+
+    private final EngineChooser chooser = new EngineChooser(HERE);
+
+    static Engine engine(String id, EndpointRole role, FailureDomain domain) {
+        Endpoint endpoint = new Endpoint(
+                new EndpointId(id), new PoolId("p"), "10.0.0.1:80", domain, 64, false, role, 0, false,
+                OptionalLong.empty());
+        return new Engine(endpoint, new EngineSpec(64, 500_000, 163_840, 1_700_000, 5_000, 3_000));
+    }
+
+    private static List<Engine> fleet(int readers) {
+        List<Engine> engines = new ArrayList<>();
+        engines.add(engine("d0", EndpointRole.DECODE, HERE));
+        engines.add(engine("d1", EndpointRole.DECODE, HERE));
+        for (int index = 0; index < readers; index++) {
+            engines.add(engine("r" + index, EndpointRole.PREFILL, index % 2 == 0 ? HERE : THERE));
+        }
+        return engines;
+    }
+
+    private static Generation prompt(long subject, long own) {
+        return new Generation(17_000, 100, List.of(new PromptPart(subject, 13_300), new PromptPart(own, 3_700)));
+    }
+
+    private String reader(Generation generation, List<Engine> engines) {
+        Placement placement = chooser.choose(generation, engines).orElseThrow();
+        return placement.reader().map(engine -> engine.endpoint().id().value()).orElse("-");
+    }
+
+    @Test
+    void testLongPromptIsReadApart() {
+        assertNotEquals("-", reader(prompt(1, 2), fleet(4)));
+    }
+
+    @Test
+    void testKeptPartsDrawTheirSubject() {
+        List<Engine> engines = fleet(6);
+        engines.get(5).cache().sent(prompt(7, 8).parts());
+        assertEquals("r3", reader(prompt(7, 9), engines));
+    }
+
+    @Test
+    void testDaemonsAgreeOnTheReaderOfASubject() {
+        List<Engine> engines = fleet(6);
+        EngineChooser other = new EngineChooser(THERE);
+        int same = 0;
+        for (long subject = 1; subject <= 200; subject++) {
+            Placement theirs = other.choose(prompt(subject, 0), engines).orElseThrow();
+            same += reader(prompt(subject, 0), engines)
+                            .equals(theirs.reader().orElseThrow().endpoint().id().value())
+                    ? 1
+                    : 0;
+        }
+        assertTrue(same >= 180, same + " of 200 subjects");
+    }
+
+    @Test
+    void testSubjectsSpreadOverReaders() {
+        List<Engine> engines = fleet(8);
+        Map<String, Integer> subjects = new HashMap<>();
+        for (long subject = 1; subject <= 800; subject++) {
+            subjects.merge(reader(prompt(subject, 0), engines), 1, Integer::sum);
+        }
+        assertEquals(8, subjects.size());
+        assertTrue(subjects.values().stream().allMatch(count -> count < 200), subjects.toString());
+    }
+
+    @Test
+    void testBusyReaderIsLeftForAColdOne() {
+        List<Engine> engines = fleet(2);
+        engines.get(2).cache().sent(prompt(7, 8).parts());
+        engines.get(2).begin(100_000, 100_000);
+        assertEquals("r1", reader(prompt(7, 9), engines));
+    }
+
+    @Test
+    void testCrowdedDecoderIsAvoided() {
+        List<Engine> engines = fleet(2);
+        for (int index = 0; index < 60; index++) {
+            engines.get(0).begin(8_000, 0);
+        }
+        Placement placement = chooser.choose(prompt(1, 2), engines).orElseThrow();
+        assertEquals("d1", placement.decoder().endpoint().id().value());
+    }
+
+    @Test
+    void testNothingMakesTokensWithoutDecoders() {
+        List<Engine> readers = fleet(3).subList(2, 5);
+        assertTrue(chooser.choose(prompt(1, 2), readers).isEmpty());
+    }
+
+    @Test
+    void testLoadOfAPeerIsReplacedAndTakenAway() {
+        Engine engine = engine("e", EndpointRole.DECODE, HERE);
+        var peer = new org.ragwortpitch.identity.InstanceId("x");
+        engine.peer(peer, new PeerLoad(3, 300, 30));
+        engine.peer(peer, new PeerLoad(2, 200, 20));
+        assertEquals(2, engine.totalRunning());
+        assertEquals(200, engine.totalHeldTokens());
+        engine.peer(peer, new PeerLoad(0, 0, 0));
+        assertEquals(0, engine.totalRunning() + engine.totalHeldTokens() + engine.totalReadingTokens());
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/ragwortpitch/scaling/EngineNeedTest.java
@@ -0,0 +1,48 @@
+package org.ragwortpitch.scaling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.ragwortpitch.identity.InstanceId;
+
+/**
+ * Tests how many engines a demand needs: the pattern is a quiet lead, a cold start, then a lower steady demand.
+ */
+class EngineNeedTest {
+
+    private static final PoolDemand NONE = new PoolDemand(0, 0);
+
+    private final EngineNeed need = new EngineNeed(18);
+
+    @Test
+    void testFirstCountLastsUntilCallersCome() {
+        assertEquals(new EngineCount(18, 3), need.count(NONE, 3, 0));
+        assertEquals(new EngineCount(18, 3), need.count(NONE, 3, 60_000));
+    }
+
+    @Test
+    void testHigherDemandCountsAtOnce() {
+        assertTrue(need.count(new PoolDemand(450, 100), 3, 0).readers() > 18);
+        assertEquals(5, need.count(new PoolDemand(450, 100), 3, 1).decoders());
+    }
+
+    @Test
+    void testLowerDemandCountsAfterAWhile() {
+        need.count(new PoolDemand(100, 10), 3, 0);
+        assertEquals(18, need.count(new PoolDemand(100, 10), 3, 9_000).readers());
+        assertEquals(7, need.count(new PoolDemand(100, 10), 3, 9_001).readers());
+    }
+
+    @Test
+    void testMeterAddsWhatPeersTell() {
+        DemandMeter meter = new DemandMeter();
+        InstanceId peer = new InstanceId("peer");
+        meter.sample(0);
+        meter.peer(peer, 1, 5_000);
+        meter.read(1_000);
+        meter.peer(peer, 1, 6_000);
+        meter.peer(peer, 2, 500);
+        assertEquals(2, meter.sample(1_000), "a total of a life is counted from its first word on");
+    }
+}
