Refuse at once what would be late behind the queue; keep stand-ins until others are to be had

Cause: while two failure domains had no reclaimable engines, all prompts waited a second or more: nearly all first events of 16 to 33 s were late. Stand-ins were ordered and taken back every three seconds. Ruled out: gaps within streams (39 of 700 late streams in the first twelve seconds). Change: a request is refused with a time to come back when the wait for its turn exceeds its target, the least urgent first; a failure domain counts as closed until an order there succeeds.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
@@ -37,7 +37,7 @@
     /** An order is repeated after this time, in milliseconds, where engines that leave take the room of new ones. */
     private static final long ROOM_MILLIS = 1_200;
 
-    /** For how long a failure domain counts as without engines to be had, in milliseconds, after it had none. */
+    /** Where no engine was to be had, it is asked for again after this time, in milliseconds. */
     private static final long NONE_MILLIS = 3_000;
 
     private static final int CONFLICT = 409;
@@ -67,7 +67,7 @@
         EngineNeed need = needs.computeIfAbsent(pool, id -> new EngineNeed(firstReaders(now.values())));
         EngineCount count = need.count(demand, now.size(), nowMillis);
         Set<FailureDomain> without = now.keySet().stream()
-                .filter(domain -> noneUntilMillis.getOrDefault(new Subject(pool, domain, true), 0L) > nowMillis)
+                .filter(domain -> noneUntilMillis.containsKey(new Subject(pool, domain, true)))
                 .collect(Collectors.toSet());
         Set<FailureDomain> leaving = endpoints.stream()
                 .filter(endpoint -> endpoint.pool().equals(pool) && endpoint.leaving())
@@ -124,7 +124,9 @@
                 call,
                 "order " + subject + " " + wanted + " of " + there,
                 answer -> {
-                    if (answer.status() == CONFLICT) {
+                    if (answer.isOk()) {
+                        noneUntilMillis.remove(subject);
+                    } else if (answer.status() == CONFLICT) {
                         noneUntilMillis.put(subject, clockMillis.getAsLong() + NONE_MILLIS);
                         Event.of("order-refused")
                                 .with("subject", subject)
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -142,6 +142,11 @@
             giveUp("the first event would take " + (long) placement.firstMillis() + " of " + patience + " ms");
             return;
         }
+        int urgency = exchange.route().urgency();
+        if (ranAt == 0 && !placement.isWorthWaiting(exchange.route().targetMillis(), urgency)) {
+            giveUp("its turn would come in " + (long) placement.waitMillis() + " ms");
+            return;
+        }
         logPlacement();
         if (placement.reader().isPresent()) {
             read(placement.reader().get(), now);
@@ -275,7 +280,7 @@
         for (StreamEvent event : events) {
             if (event.id() == StreamEvent.NO_ID || event.id() > lastEvent) {
                 lastEvent = Math.max(lastEvent, event.id());
-                exchange.answer().piece(Unpooled.wrappedBuffer(event.bytes()));
+                exchange.piece(event.bytes());
             }
         }
     }
@@ -290,7 +295,7 @@
             return;
         }
         if (rest.length > 0) {
-            exchange.answer().piece(Unpooled.wrappedBuffer(rest));
+            exchange.piece(rest);
         }
         exchange.endStream();
     }
@@ -359,7 +364,7 @@
                 .with("reason", reason)
                 .with("decoder", other.get().endpoint().id())
                 .info(LOGGER);
-        placement = new Placement(other.get().engine(), placement.reader(), placement.firstMillis());
+        placement = new Placement(other.get().engine(), placement.reader(), placement.firstMillis(), 0);
         decode(memory, now);
         return true;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -40,6 +40,8 @@
     private final boolean endsAtRoute;
     private String path = "";
     private long firstMillis;
+    private long lastPieceMillis;
+    private long longestGapMillis;
     private int sends;
     private boolean counted;
     private boolean begun;
@@ -148,6 +150,16 @@
         answer.begin(status, forwarded);
     }
 
+    /**
+     * Passes a piece of a stream on.
+     */
+    void piece(byte[] bytes) {
+        long now = parts.clockMillis().getAsLong();
+        longestGapMillis = Math.max(longestGapMillis, lastPieceMillis == 0 ? 0 : now - lastPieceMillis);
+        lastPieceMillis = now;
+        answer.piece(Unpooled.wrappedBuffer(bytes));
+    }
+
     /**
      * Ends a stream that was passed on whole.
      */
@@ -217,6 +229,8 @@
                 .with("route", route.id())
                 .with("millis", tookMillis)
                 .with("first-millis", firstMillis)
+                .with("longest-gap-millis", longestGapMillis)
+                .with("target", route.targetMillis() + "+" + route.targetGapMillis())
                 .with("sends", sends)
                 .with("endpoints", path.isEmpty() ? "-" : path);
         (reason.isEmpty() ? event : event.with("reason", reason)).info(LOGGER);
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
@@ -65,13 +65,18 @@
             double extra = extraMillis(decoder, generation);
             double local = EngineEstimate.localMillis(decoder, generation);
             best = better(best, new Choice(
-                    new Placement(decoder, Optional.empty(), local),
+                    new Placement(decoder, Optional.empty(), local, EngineEstimate.localWaitMillis(decoder)),
                     local + extra + EngineEstimate.disturbedMillis(decoder, generation)));
             if (reader.isPresent()) {
                 double time = reader.get().millis() + EngineEstimate.handedOverMillis(decoder, generation);
                 double cost = reader.get().cost() - reader.get().millis() + time + HAND_OVER_MILLIS + extra;
                 best = better(best, new Choice(
-                        new Placement(decoder, Optional.of(reader.get().engine()), time), cost));
+                        new Placement(
+                                decoder,
+                                Optional.of(reader.get().engine()),
+                                time,
+                                EngineEstimate.readerWaitMillis(reader.get().engine())),
+                        cost));
             }
         }
         return Optional.ofNullable(best).map(Choice::placement);
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
@@ -49,7 +49,7 @@
     public static double readMillis(Engine engine, Generation generation) {
         int uncached = uncachedTokens(engine, generation);
         double own = READ_SETUP_MILLIS + uncached / READ_TOKENS_PER_MILLI + pairsMillis(uncached, generation.promptTokens());
-        return engine.slowness() * (own + engine.totalReadingTokens() / READ_TOKENS_PER_MILLI);
+        return engine.slowness() * own + readerWaitMillis(engine);
     }
 
     /**
@@ -58,7 +58,7 @@
     public static double localMillis(Engine engine, Generation generation) {
         int uncached = uncachedTokens(engine, generation);
         double own = uncached / BESIDE_TOKENS_PER_MILLI + pairsMillis(uncached, generation.promptTokens()) / BESIDE_TOKENS_SHARE;
-        return engine.slowness() * (own + engine.totalReadingTokens() / BESIDE_TOKENS_PER_MILLI + FIRST_EVENT_MILLIS);
+        return engine.slowness() * (own + FIRST_EVENT_MILLIS) + localWaitMillis(engine);
     }
 
     /**
@@ -70,6 +70,20 @@
         return transfer + engine.slowness() * FIRST_EVENT_MILLIS;
     }
 
+    /**
+     * Estimates how long until a reader's turn comes to read a further prompt.
+     */
+    public static double readerWaitMillis(Engine engine) {
+        return engine.slowness() * engine.totalReadingTokens() / READ_TOKENS_PER_MILLI;
+    }
+
+    /**
+     * Estimates how long until an engine's turn comes to read a further prompt beside making tokens.
+     */
+    public static double localWaitMillis(Engine engine) {
+        return engine.slowness() * engine.totalReadingTokens() / BESIDE_TOKENS_PER_MILLI;
+    }
+
     /**
      * Counts the tokens that an engine would have to read.
      */
