Let duties change hands without a gap, and use engines known at a start at once

Cause: a new holder waited three seconds, and further ones after each reshuffle, so that two windows' usage came late; after a loss of power all engines counted as just listed, and requests were refused for want of one that makes tokens. Change: only a daemon whose own holding was interrupted waits, counted from its own last act; where fencing tokens aren't checked each new holder waits as before. Usage waits for all daemons' counts until shortly before it is due. Successes without a signature are not passed on.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -159,7 +159,7 @@
         trafficLoop.scheduleWithFixedDelay(
                 gossiper::tell, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
-                () -> handUsageOver(wallMillis.getAsLong()), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
+                () -> handOver(usage.takeEnded(wallMillis.getAsLong())), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(this::tellDemand, DEMAND_MILLIS, DEMAND_MILLIS, TimeUnit.MILLISECONDS);
         controlLoop.execute(control::start);
         Event started = Event.of("started").with("born", self.bornMillis());
@@ -183,7 +183,7 @@
         controlLoop.execute(() -> control.leave(() -> {}));
         TimeUnit.MILLISECONDS.sleep((long) (graceMillis * CLOSE_IDLE_SHARE));
         long end = stopMillis + (long) (graceMillis * END_SHARE);
-        trafficLoop.execute(() -> handUsageOver(Long.MAX_VALUE / 2));
+        trafficLoop.execute(() -> handOver(usage.takeAll()));
         do {
             trafficLoop.execute(front::closeIdle);
             TimeUnit.MILLISECONDS.sleep(100);
@@ -223,10 +223,9 @@
         return SmallAnswer.json(DirectoryForm.answer(addresses, settings.bounds().maxTtlSeconds()));
     }
 
-    private void handUsageOver(long endedBeforeMillis) {
-        SortedMap<Long, Map<AccountId, Long>> ended = usage.takeEnded(endedBeforeMillis);
-        if (!ended.isEmpty()) {
-            controlLoop.execute(() -> control.counted(ended));
+    private void handOver(SortedMap<Long, Map<AccountId, Long>> counts) {
+        if (!counts.isEmpty()) {
+            controlLoop.execute(() -> control.counted(counts));
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -74,13 +75,14 @@
         this.listener = listener;
         this.store = new StoreClient(caller, settings.storeAddress(), clockMillis, metrics);
         String life = self.id().value() + "-" + self.bornMillis();
-        this.usage = new UsageDesk(loop, store, life);
+        this.usage = new UsageDesk(loop, store, self);
         this.duties = new DutyDesk(
                 loop,
                 store,
                 life,
                 new LeaseClock(clockMillis, wallMillis),
                 settings.bounds().leaseMillis(),
+                settings.bounds().fenced(),
                 duty(caller, clockMillis, wallMillis));
     }
 
@@ -90,11 +92,12 @@
         }
         PlatformCalls platform = new PlatformCalls(caller, settings.cloud().get());
         UsageReporter reporter =
-                new UsageReporter(store, platform, self.id(), settings.bounds().usageWindowMillis());
+                new UsageReporter(store, platform, self.id(), settings.bounds().usageWindowMillis(),
+                settings.bounds().usageLateMillis());
         FleetDesk fleet = new FleetDesk(platform, self.id(), clockMillis);
         RoleDesk roles = new RoleDesk(caller, self.id(), clockMillis);
         return (token, refused) -> {
-            reporter.step(token, wallMillis.getAsLong(), refused);
+            reporter.step(token, wallMillis.getAsLong(), Set.copyOf(daemons.keySet()), refused);
             if (deployment != null) {
                 deployment.pools().forEach(pool -> stepEngines(token, pool, fleet, roles));
             }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyDesk.java
@@ -48,15 +48,19 @@
      *
      * @param member      names this life of this daemon
      * @param leaseMillis a clock that also counts freezes
-     * @param waitMillis  how long a new holder waits, in milliseconds
+     * @param waitMillis  within which holders mustn't take turns, in milliseconds
+     * @param fenced      whether fencing tokens are checked
      */
     DutyDesk(
-            EventLoop loop, StoreClient store, String member, LongSupplier leaseMillis, long waitMillis, Duty duty) {
+            EventLoop loop, StoreClient store, String member, LongSupplier leaseMillis,
+            long waitMillis,
+            boolean fenced,
+            Duty duty) {
         this.loop = loop;
         this.store = store;
         this.member = member;
         this.leaseMillis = leaseMillis;
-        this.holding = new Holding(TTL_MILLIS, waitMillis);
+        this.holding = new Holding(TTL_MILLIS, waitMillis, fenced, leaseMillis.getAsLong());
         this.duty = duty;
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
@@ -113,11 +113,11 @@
         long now = clockMillis.getAsLong();
         boolean same = last != null && last.count() == wanted;
         boolean none = noneUntilMillis.getOrDefault(subject, 0L) > now;
-        boolean waiting = none || same && now - last.atMillis() < lateMillis;
+        boolean waiting = none || same && now - last.atMillis() < last.lateMillis();
         if (wanted == there && (last == null || same) || waiting) {
             return;
         }
-        orders.put(subject, new Order(wanted, now));
+        orders.put(subject, new Order(wanted, now, lateMillis));
         HttpCall call = DutyForm.scale(
                 self, fencingToken, subject.pool(), subject.domain(), wanted, subject.reclaimable());
         platform.call(
@@ -144,6 +144,8 @@
 
     /**
      * The last order on a subject.
+     *
+     * @param lateMillis after which it is repeated if not enough have come, in milliseconds
      */
-    private record Order(int count, long atMillis) {}
+    private record Order(int count, long atMillis, long lateMillis) {}
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Holding.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Holding.java
@@ -2,27 +2,35 @@
 
 /**
  * Whether this daemon holds the duties, by its membership of a group in the store. The time of a holding counts from
- * before the call was sent that was answered, by a clock that also counts a freeze. A new holder waits, so that holders
- * can't take turns within that time. Confined to the control thread.
+ * before the call was sent that was answered, by a clock that also counts a freeze. A daemon whose holding was
+ * interrupted acts again only after a wait, so that two holders can't take turns within that time; where nobody checks
+ * fencing tokens, each new holder waits. Confined to the control thread.
  */
 final class Holding {
 
     private final long ttlMillis;
     private final long waitMillis;
+    private final boolean fenced;
     private boolean holds;
+    private boolean interrupted = true;
     private long generation;
     private long sinceMillis;
     private long untilMillis;
+    private long lastActMillis;
 
     /**
      * Makes a holding of nothing.
      *
      * @param ttlMillis  how long the store keeps a silent member, in milliseconds
-     * @param waitMillis how long a new holder waits before it acts, in milliseconds
+     * @param waitMillis within which holders mustn't take turns, in milliseconds
+     * @param fenced     whether fencing tokens are checked
+     * @param nowMillis  the present time; an earlier life of this daemon may have acted until now
      */
-    Holding(long ttlMillis, long waitMillis) {
+    Holding(long ttlMillis, long waitMillis, boolean fenced, long nowMillis) {
         this.ttlMillis = ttlMillis;
         this.waitMillis = waitMillis;
+        this.fenced = fenced;
+        this.lastActMillis = nowMillis;
     }
 
     /**
@@ -39,6 +47,9 @@
         if (listed && !heldOn) {
             sinceMillis = nowMillis;
         }
+        if (!listed || !heldOn) {
+            interrupted = true;
+        }
     }
 
     /**
@@ -46,13 +57,23 @@
      */
     void lost() {
         holds = false;
+        interrupted = true;
     }
 
     /**
-     * Tells whether this daemon may act.
+     * Tells whether this daemon may act now.
      */
     boolean mayAct(long nowMillis) {
-        return holds && nowMillis < untilMillis && nowMillis - sinceMillis >= waitMillis;
+        if (!holds || nowMillis >= untilMillis) {
+            return false;
+        }
+        long from = fenced ? lastActMillis : Math.max(lastActMillis, sinceMillis);
+        if (interrupted && nowMillis - from < waitMillis) {
+            return false;
+        }
+        interrupted = false;
+        lastActMillis = nowMillis;
+        return true;
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageDesk.java
@@ -11,7 +11,8 @@
 import org.ragwortpitch.contract.StoreForm;
 import org.ragwortpitch.contract.UsageForm;
 import org.ragwortpitch.identity.AccountId;
-import org.ragwortpitch.ledger.UsageEntry;
+import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.ledger.LedgerEntry;
 import org.ragwortpitch.logging.Event;
 
 /**
@@ -30,29 +31,28 @@
 
     private final EventLoop loop;
     private final StoreClient store;
-    private final String writer;
-    private final Deque<UsageEntry> waiting = new ArrayDeque<>();
+    private final Daemon self;
+    private final Deque<LedgerEntry> waiting = new ArrayDeque<>();
     private int part;
     private boolean sending;
 
     /**
      * Makes a desk with nothing to write.
      *
-     * @param writer names this life of this daemon
      */
-    UsageDesk(EventLoop loop, StoreClient store, String writer) {
+    UsageDesk(EventLoop loop, StoreClient store, Daemon self) {
         this.loop = loop;
         this.store = store;
-        this.writer = writer;
+        this.self = self;
     }
 
     /**
      * Takes counts of windows over.
      */
     void counted(SortedMap<Long, Map<AccountId, Long>> windows) {
-        windows.forEach((window, counts) -> waiting.add(new UsageEntry(window, writer, part++, false, counts)));
+        windows.forEach((window, counts) -> waiting.add(new LedgerEntry(window, self.id(), self.bornMillis(), part++, false, counts)));
         while (waiting.size() > MAX_WAITING) {
-            UsageEntry lost = waiting.poll();
+            LedgerEntry lost = waiting.poll();
             Event.of("usage-dropped")
                     .with("window", lost.window())
                     .with("reason", "the store was away for too long")
@@ -74,7 +74,7 @@
         }
         sending = true;
         // An entry whose answer was lost is written again as it was; readers count it once.
-        List<UsageEntry> batch = List.copyOf(waiting);
+        List<LedgerEntry> batch = List.copyOf(waiting);
         List<byte[]> records = batch.stream().map(UsageForm::encode).toList();
         store.call(
                 StoreForm.append(UsageForm.TOPIC, records),
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import org.ragwortpitch.contract.DutyForm;
 import org.ragwortpitch.contract.FormException;
@@ -13,7 +14,7 @@
 import org.ragwortpitch.edge.http.CallAnswer;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.InstanceId;
-import org.ragwortpitch.ledger.UsageEntry;
+import org.ragwortpitch.ledger.LedgerEntry;
 import org.ragwortpitch.ledger.UsageJournal;
 import org.ragwortpitch.logging.Event;
 
@@ -25,8 +26,11 @@
 
     private static final Logger LOGGER = System.getLogger(UsageReporter.class.getName());
 
-    /** After a window's end daemons have this long to write their counts, in milliseconds. */
-    private static final long SETTLE_MILLIS = 3_000;
+    /** After a window's end daemons take this long to write their counts, in milliseconds. */
+    private static final long SETTLE_MILLIS = 1_500;
+
+    /** Counts that are missing are waited for until this much before the report is due, in milliseconds. */
+    private static final long REPORT_MILLIS = 2_000;
 
     /** A report is tried until this many windows after its own; then it is too late to be of use. */
     private static final int KEPT_WINDOWS = 6;
@@ -39,24 +43,31 @@
     private final PlatformCalls platform;
     private final InstanceId self;
     private final long windowMillis;
+    private final long lateMillis;
     private final UsageJournal journal = new UsageJournal();
     private final TreeSet<Long> reported = new TreeSet<>();
+    private Set<InstanceId> expected = Set.of();
+    private long nowMillis;
     private long offset;
     private boolean busy;
 
-    UsageReporter(StoreClient store, PlatformCalls platform, InstanceId self, long windowMillis) {
+    UsageReporter(StoreClient store, PlatformCalls platform, InstanceId self, long windowMillis, long lateMillis) {
         this.store = store;
         this.platform = platform;
         this.self = self;
         this.windowMillis = windowMillis;
+        this.lateMillis = lateMillis;
     }
 
     /**
      * Does the next step, if one is due.
      *
+     * @param daemons those whose counts are waited for
      * @param refused hears that another holder has acted since
      */
-    void step(long fencingToken, long wallMillis, Runnable refused) {
+    void step(long fencingToken, long wallMillis, Set<InstanceId> daemons, Runnable refused) {
+        expected = daemons;
+        nowMillis = wallMillis;
         long last = Math.floorDiv(wallMillis - SETTLE_MILLIS, windowMillis) - 1;
         reported.headSet(last - 2 * KEPT_WINDOWS).clear();
         if (busy || nextDue(last).isEmpty()) {
@@ -79,6 +90,8 @@
         Optional<Map<AccountId, Long>> frozen = journal.frozen(window);
         if (frozen.isPresent()) {
             report(window, frozen.get(), fencingToken, refused);
+        } else if (!journal.writers(window).containsAll(expected) && !isPressing(window)) {
+            busy = false;
         } else if (journal.counted(window).isEmpty()) {
             reported.add(window);
             busy = false;
@@ -87,8 +100,13 @@
         }
     }
 
+    private boolean isPressing(long window) {
+        long endMillis = (window + 1) * windowMillis;
+        return nowMillis > endMillis + lateMillis - REPORT_MILLIS;
+    }
+
     private void freeze(long window) {
-        UsageEntry entry = new UsageEntry(window, self.value(), 0, true, journal.counted(window));
+        LedgerEntry entry = new LedgerEntry(window, self, 0, 0, true, journal.counted(window));
         store.call(
                 StoreForm.append(UsageForm.TOPIC, List.of(UsageForm.encode(entry))),
                 0,
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -19,7 +19,7 @@
     private static final int MAX_SENT_PARTS = 64;
 
     /** Within this time of its listing a new engine is ordered to another role if it gets one, in milliseconds. */
-    private static final long SETTLING_MILLIS = 1_500;
+    static final long SETTLING_MILLIS = 1_500;
 
     private final List<PromptPart> sentParts = new ArrayList<>();
     private final HealthScore health = new HealthScore();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -47,6 +47,9 @@
     /** Retry-After of a refusal, in milliseconds: about half of a usual generation, after which places are free. */
     private static final long RETRY_AFTER_MILLIS = 400;
 
+    /** A caller who was sent away because of a queue comes back after this many times its length. */
+    private static final double QUEUES_TO_WAIT = 2;
+
     /** Callers leave a stream that is silent this many times its target, but no sooner than two seconds. */
     private static final int PATIENCE_TARGETS = 4;
 
@@ -129,7 +132,12 @@
     private void place(long now) {
         List<EndpointState> usable = parts.fleet().usable(pool, tried, now);
         List<Engine> engines = usable.stream().map(EndpointState::engine).toList();
-        Optional<Placement> choice = chooser.choose(generation, engines);
+        Optional<Placement> choice = chooser.choose(generation, engines)
+                .or(() -> chooser.choose(
+                        generation,
+                        parts.fleet().staying(pool, tried).stream()
+                                .map(EndpointState::engine)
+                                .toList()));
         if (choice.isEmpty()) {
             giveUp("no engine that makes tokens is left of " + usable.size());
             return;
@@ -144,7 +152,9 @@
         }
         int urgency = exchange.route().urgency();
         if (ranAt == 0 && !placement.isWorthWaiting(exchange.route().targetMillis(), urgency)) {
-            giveUp("its turn would come in " + (long) placement.waitMillis() + " ms");
+            long comeBackMillis = Math.max(RETRY_AFTER_MILLIS, (long) (QUEUES_TO_WAIT * placement.waitMillis()));
+            exchange.refuse(
+                    UNAVAILABLE, comeBackMillis, "its turn would come in " + (long) placement.waitMillis() + " ms");
             return;
         }
         logPlacement();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Fleet.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Fleet.java
@@ -40,6 +40,8 @@
      */
     public void apply(Collection<Endpoint> listed, Deployment deployment, long nowMillis) {
         Map<EndpointId, EndpointState> next = new HashMap<>();
+        // What is listed at a daemon's start has been there for a while.
+        long listedMillis = states.isEmpty() ? nowMillis - EndpointState.SETTLING_MILLIS : nowMillis;
         for (Endpoint endpoint : listed) {
             EndpointState known = states.get(endpoint.id());
             if (known != null && known.endpoint().isSameLife(endpoint)) {
@@ -51,7 +53,7 @@
                 next.put(
                         endpoint.id(),
                         new EndpointState(
-                                endpoint, deployment.pool(endpoint.pool()).flatMap(Pool::engine), nowMillis));
+                                endpoint, deployment.pool(endpoint.pool()).flatMap(Pool::engine), listedMillis));
             }
         }
         states.forEach((id, state) -> {
@@ -70,11 +72,7 @@
      * @param excluded endpoints that a request has been at already
      */
     List<EndpointState> usable(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
-        List<EndpointState> staying = states.values().stream()
-                .filter(state -> state.endpoint().pool().equals(pool)
-                        && !state.endpoint().leaving()
-                        && !excluded.contains(state.endpoint().id()))
-                .toList();
+        List<EndpointState> staying = staying(pool, excluded);
         List<EndpointState> healthy = staying.stream()
                 .filter(state -> state.health().isUsable(nowMillis)
                         && !state.isAvoided(nowMillis)
@@ -83,6 +81,17 @@
         return healthy.isEmpty() ? staying : healthy;
     }
 
+    /**
+     * Tells the endpoints of a pool that aren't leaving, whatever is thought of them.
+     */
+    List<EndpointState> staying(PoolId pool, Set<EndpointId> excluded) {
+        return states.values().stream()
+                .filter(state -> state.endpoint().pool().equals(pool)
+                        && !state.endpoint().leaving()
+                        && !excluded.contains(state.endpoint().id()))
+                .toList();
+    }
+
     /**
      * Leaves endpoints alone that serve nothing for a while.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -28,6 +28,8 @@
 
     private static final Logger LOGGER = System.getLogger(ServiceRun.class.getName());
 
+    private static final int FIRST_ERROR = 300;
+
     private static final int SERVER_ERROR = 500;
 
     private static final int BAD_GATEWAY = 502;
@@ -204,6 +206,10 @@
             }
             ranAt++;
             exchange.ran();
+            if (status < FIRST_ERROR && !headers.contains(Headers.SEAL)) {
+                unsealed();
+                return;
+            }
             boolean error = status >= SERVER_ERROR;
             if (error) {
                 target.health().failed(false, now());
@@ -238,6 +244,18 @@
             }
         }
 
+        /**
+         * Drops a success that no endpoint has signed.
+         */
+        private void unsealed() {
+            target.health().failed(false, now());
+            if (mayRunElsewhere()) {
+                retryOrGiveUp("a success without a signature", true);
+            } else {
+                exchange.fail(BAD_GATEWAY, "a success without a signature");
+            }
+        }
+
         private void silent() {
             if (ended || exchange.isDone() || !parts.repeats().tryRepeat(pool, 1, now())) {
                 return;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamRun.java
@@ -69,7 +69,7 @@
 
     @Override
     public void onContent(ByteBuf content) {
-        if (status != OK) {
+        if (status != OK || !headers.contains(Headers.SEAL)) {
             other.writeBytes(content);
             return;
         }
@@ -90,6 +90,8 @@
         finish();
         if (headers.contains(Headers.NOT_RUN)) {
             listener.onRefused(this, status);
+        } else if (status == OK && !headers.contains(Headers.SEAL)) {
+            listener.onBroken(this, true, "a success without a signature");
         } else if (status != OK) {
             listener.onOther(this, status, headers, other);
         } else if (!framed && splitter.rest().length > 0) {
--- a/policy/src/main/java/org/ragwortpitch/ledger/UsageJournal.java
+++ b/policy/src/main/java/org/ragwortpitch/ledger/UsageJournal.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.InstanceId;
 
 /**
  * The state that the usage journal amounts to, the same for every reader: sums of what daemons counted, and the figures
@@ -19,16 +20,18 @@
     private final TreeMap<Long, Map<AccountId, Long>> sums = new TreeMap<>();
     private final TreeMap<Long, Map<AccountId, Long>> frozen = new TreeMap<>();
     private final TreeMap<Long, Set<String>> seen = new TreeMap<>();
+    private final TreeMap<Long, Set<InstanceId>> writers = new TreeMap<>();
 
     /**
      * Applies the next record.
      */
-    public void apply(UsageEntry entry) {
+    public void apply(LedgerEntry entry) {
         if (entry.frozen()) {
             frozen.putIfAbsent(entry.window(), new TreeMap<>(entry.counts()));
         } else if (!frozen.containsKey(entry.window())
                 && seen.computeIfAbsent(entry.window(), window -> new HashSet<>())
-                        .add(entry.writer() + '#' + entry.part())) {
+                        .add(entry.daemon() + "#" + entry.bornMillis() + "#" + entry.part())) {
+            writers.computeIfAbsent(entry.window(), window -> new HashSet<>()).add(entry.daemon());
             Map<AccountId, Long> sum = sums.computeIfAbsent(entry.window(), window -> new TreeMap<>());
             entry.counts().forEach((account, count) -> sum.merge(account, count, Long::sum));
         }
@@ -49,9 +52,17 @@
         return sums.getOrDefault(window, Map.of());
     }
 
+    /**
+     * Tells the daemons whose counts of a window are known.
+     */
+    public Set<InstanceId> writers(long window) {
+        return writers.getOrDefault(window, Set.of());
+    }
+
     private void forget(long before) {
         sums.headMap(before).clear();
         frozen.headMap(before).clear();
         seen.headMap(before).clear();
+        writers.headMap(before).clear();
     }
 }
--- a/policy/src/main/java/org/ragwortpitch/ledger/WindowCounts.java
+++ b/policy/src/main/java/org/ragwortpitch/ledger/WindowCounts.java
@@ -12,6 +12,7 @@
 
     private final long windowMillis;
     private final TreeMap<Long, Map<AccountId, Long>> windows = new TreeMap<>();
+    private long lastTaken = Long.MIN_VALUE;
 
     /**
      * Makes empty counts.
@@ -39,19 +40,26 @@
     }
 
     /**
-     * Takes the counts of all windows that ended before a time, oldest first.
+     * Takes the counts of all windows, also of the one that hasn't ended.
      */
-    public TreeMap<Long, Map<AccountId, Long>> takeEnded(long wallMillis) {
-        TreeMap<Long, Map<AccountId, Long>> ended = new TreeMap<>(windows.headMap(windowAt(wallMillis)));
-        windows.headMap(windowAt(wallMillis)).clear();
-        return ended;
+    public TreeMap<Long, Map<AccountId, Long>> takeAll() {
+        TreeMap<Long, Map<AccountId, Long>> all = new TreeMap<>(windows);
+        windows.clear();
+        return all;
     }
 
     /**
-     * Puts counts back whose hand-over failed.
+     * Takes the counts of all windows that ended before a time, oldest first. The window that ended last is among them
+     * once, also if nothing was counted in it, so that readers know that no count is missing.
      */
-    public void putBack(long window, Map<AccountId, Long> counts) {
-        Map<AccountId, Long> there = windows.computeIfAbsent(window, number -> new HashMap<>());
-        counts.forEach((account, count) -> there.merge(account, count, Long::sum));
+    public TreeMap<Long, Map<AccountId, Long>> takeEnded(long wallMillis) {
+        long last = windowAt(wallMillis) - 1;
+        if (last > lastTaken) {
+            windows.computeIfAbsent(last, number -> new HashMap<>());
+            lastTaken = last;
+        }
+        TreeMap<Long, Map<AccountId, Long>> ended = new TreeMap<>(windows.headMap(windowAt(wallMillis)));
+        windows.headMap(windowAt(wallMillis)).clear();
+        return ended;
     }
 }
--- a/policy/src/test/java/org/ragwortpitch/ledger/UsageJournalTest.java
+++ b/policy/src/test/java/org/ragwortpitch/ledger/UsageJournalTest.java
@@ -5,8 +5,10 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.InstanceId;
 
 /**
  * Tests that a window has one set of figures.
@@ -17,28 +19,29 @@
 
     private final UsageJournal journal = new UsageJournal();
 
-    private static UsageEntry counted(String writer, int part, long count) {
-        return new UsageEntry(5, writer, part, false, Map.of(PAWS, count));
+    private static LedgerEntry counted(String writer, int part, long count) {
+        return new LedgerEntry(5, new InstanceId(writer), 1, part, false, Map.of(PAWS, count));
     }
 
-    private static UsageEntry frozen(long count) {
-        return new UsageEntry(5, "holder", 0, true, Map.of(PAWS, count));
+    private static LedgerEntry frozen(long count) {
+        return new LedgerEntry(5, new InstanceId("holder"), 1, 0, true, Map.of(PAWS, count));
     }
 
     @Test
     void testEntryWrittenTwiceCountsOnce() {
-        journal.apply(counted("a-1", 0, 3));
-        journal.apply(counted("a-1", 0, 3));
-        journal.apply(counted("a-1", 1, 2));
-        journal.apply(counted("b-1", 0, 4));
+        journal.apply(counted("a", 0, 3));
+        journal.apply(counted("a", 0, 3));
+        journal.apply(counted("a", 1, 2));
+        journal.apply(counted("b", 0, 4));
         assertEquals(Map.of(PAWS, 9L), journal.counted(5));
+        assertEquals(Set.of(new InstanceId("a"), new InstanceId("b")), journal.writers(5));
     }
 
     @Test
     void testFirstFrozenFiguresStand() {
-        journal.apply(counted("a-1", 0, 3));
+        journal.apply(counted("a", 0, 3));
         journal.apply(frozen(3));
-        journal.apply(counted("b-1", 0, 4));
+        journal.apply(counted("b", 0, 4));
         journal.apply(frozen(7));
         assertEquals(Optional.of(Map.of(PAWS, 3L)), journal.frozen(5));
     }
@@ -46,7 +49,7 @@
     @Test
     void testOldWindowsAreForgotten() {
         journal.apply(frozen(3));
-        journal.apply(new UsageEntry(500, "a-1", 0, false, Map.of()));
+        journal.apply(new LedgerEntry(500, new InstanceId("a"), 1, 0, false, Map.of()));
         assertTrue(journal.frozen(5).isEmpty());
     }
 
@@ -58,5 +61,7 @@
         assertEquals(Map.of(1L, Map.of(PAWS, 1L)), counts.takeEnded(10_000));
         assertEquals(Map.of(), counts.takeEnded(14_999));
         assertEquals(Map.of(2L, Map.of(PAWS, 1L)), counts.takeEnded(15_000));
+        assertEquals(Map.of(3L, Map.of()), counts.takeEnded(20_000), "an empty window is told once");
+        assertEquals(Map.of(), counts.takeEnded(20_500));
     }
 }
