--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
@@ -87,7 +87,7 @@
         int reclaimable = fleets.stream().mapToInt(DomainFleet::reclaimable).sum();
         int there = fleets.stream().mapToInt(DomainFleet::total).sum();
         // Where reclaimable ones are, a holder before has planned already.
-        return reclaimable > 0 ? there : (int) Math.ceil(there * FIRST_READERS_SHARE);
+        return reclaimable > 0 ? Math.max(1, there - fleets.size()) : (int) Math.ceil(there * FIRST_READERS_SHARE);
     }
 
     private static Map<FailureDomain, DomainFleet> present(
--- a/policy/src/main/java/org/ragwortpitch/scaling/FleetPlanner.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/FleetPlanner.java
@@ -15,22 +15,26 @@
  */
 public final class FleetPlanner {
 
+    /** Firm engines that go at once to make room; the others carry the load meanwhile. */
+    private static final int ROOM_STEP = 2;
+
     private FleetPlanner() {}
 
     /**
      * Plans the fleet.
      *
-     * @param engines the engines that carry the load
+     * @param wanted  the engines that carry the load
      * @param now     what is there now, in each failure domain that can be ordered from
      * @param without the failure domains where no reclaimable engine is to be had
      * @param serving whether callers were seen yet; before, firm engines needn't wait for those that replace them
      */
     public static Map<FailureDomain, DomainFleet> plan(
             ScalingSpec spec,
-            int engines,
+            int wanted,
             Map<FailureDomain, DomainFleet> now,
             Set<FailureDomain> without,
             boolean serving) {
+        int engines = Math.min(wanted, spec.max() * now.size());
         List<FailureDomain> byPrice = now.keySet().stream()
                 .sorted(Comparator.<FailureDomain>comparingDouble(
                                 domain -> spec.prices().getOrDefault(domain, 1.0))
@@ -45,14 +49,26 @@
         Map<FailureDomain, DomainFleet> plan = new HashMap<>();
         now.forEach((domain, fleet) -> {
             int wantedFirm = firm.get(domain);
-            int stayingFirm = serving && !enough ? Math.max(wantedFirm, fleet.firm()) : wantedFirm;
+            int staying = serving && enough && spec.spotPrice() > 0 ? stayingFirm(spec, each, wantedFirm, fleet) : wantedFirm;
+            int stayingFirm = serving && !enough ? Math.max(wantedFirm, fleet.firm()) : staying;
             int reclaimable = spec.spotPrice() <= 0 ? 0 : each - (domain.equals(byPrice.get(0)) ? 1 : 0);
-            int staying = enough ? reclaimable : Math.max(reclaimable, fleet.reclaimable());
-            plan.put(domain, new DomainFleet(stayingFirm, Math.max(0, Math.min(staying, spec.max() - stayingFirm))));
+            int kept = enough ? reclaimable : Math.max(reclaimable, fleet.reclaimable());
+            int room = Math.max(0, Math.min(kept, spec.max() - stayingFirm));
+            // Where none were to be had one is asked for even without room, to learn when that has changed.
+            plan.put(domain, new DomainFleet(stayingFirm, without.contains(domain) ? Math.max(1, room) : room));
         });
         return plan;
     }
 
+    /**
+     * Lets firm ones go as reclaimable ones come for them, or two at a time where the limit leaves no room for these.
+     */
+    private static int stayingFirm(ScalingSpec spec, int each, int wanted, DomainFleet now) {
+        int replaced = Math.min(now.firm(), each - now.reclaimable());
+        int roomMade = now.total() >= spec.max() ? now.firm() - ROOM_STEP : now.firm();
+        return Math.max(wanted, Math.min(replaced, roomMade));
+    }
+
     /**
      * Gives the firm ones that are needed to the cheapest failure domains with room for them.
      */
