--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -35,6 +35,7 @@
 import org.ragwortpitch.edge.traffic.Gateway;
 import org.ragwortpitch.edge.traffic.Gossiper;
 import org.ragwortpitch.edge.traffic.RepeatBudgets;
+import org.ragwortpitch.edge.traffic.Suspects;
 import org.ragwortpitch.edge.traffic.TrafficParts;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
@@ -90,21 +91,24 @@
     private final PeerView peers = new PeerView();
     private final Accounts accounts;
     private final Demands demands = new Demands();
+    private final Suspects suspects = new Suspects();
     private final Fleet fleet;
+    private final RepeatBudgets repeats;
     private final Gateway gateway;
     private final Control control;
     private FrontServer front;
     private Gossiper gossiper;
+    private volatile InstanceSettings.Bounds bounds;
     private Collection<Endpoint> endpoints = List.of();
     private boolean listed;
 
     /**
      * Makes a daemon; {@link #start} starts it.
      *
-     * @param metricsPort where metrics are served
      */
     public Edge(InstanceSettings settings, LongSupplier clockMillis, LongSupplier wallMillis) {
         this.settings = settings;
+        this.bounds = settings.bounds();
         this.clockMillis = clockMillis;
         this.wallMillis = wallMillis;
         NioEventLoopGroup traffic = new NioEventLoopGroup(1);
@@ -123,9 +127,9 @@
         accounts = new Accounts(settings.firstStart());
         ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_MILLIS, clockMillis);
         fleet = new Fleet(connections::forget);
-        RepeatBudgets repeats = new RepeatBudgets(settings.bounds(), peers::count);
+        repeats = new RepeatBudgets(settings.bounds(), peers::count);
         TrafficParts parts = new TrafficParts(
-                trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, accounts, repeats, usage, demands, metrics);
+                trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, accounts, repeats, usage, demands, suspects, metrics);
         gateway = new Gateway(parts, new HttpCaller(trafficLoop, connections));
         ConnectionPool controlConnections = new ConnectionPool(controlLoop, CONNECT_MILLIS, clockMillis);
         control = new Control(
@@ -155,7 +159,7 @@
                 query -> SmallAnswer.text(READY, new String(metrics.scrape(), java.nio.charset.StandardCharsets.UTF_8))));
         GossipSocket socket = closer.add(new GossipSocket(
                 trafficLoop, socketAddress(self.peerAddress()), gossip -> gossiper.heard(gossip)));
-        gossiper = new Gossiper(self, socket, peers, fleet, accounts, demands, this::isReady, clockMillis);
+        gossiper = new Gossiper(self, socket, peers, fleet, accounts, demands, suspects, this::isReady, clockMillis);
         trafficLoop.scheduleWithFixedDelay(
                 gossiper::tell, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
@@ -177,7 +181,7 @@
             return;
         }
         Event.of("stopping").info(LOGGER);
-        long graceMillis = settings.bounds().graceMillis();
+        long graceMillis = bounds.graceMillis();
         long stopMillis = clockMillis.getAsLong();
         trafficLoop.execute(front::drain);
         controlLoop.execute(() -> control.leave(() -> {}));
@@ -196,6 +200,25 @@
         closer.close();
     }
 
+    /**
+     * Takes new settings over. Addresses can't change in a running process; bounds hold from now on.
+     */
+    public void reload(InstanceSettings settings) {
+        trafficLoop.execute(() -> {
+            bounds = settings.bounds();
+            repeats.configure(settings.bounds());
+        });
+    }
+
+    /**
+     * Does something again and again on the control thread.
+     *
+     * @param millis the pause between, in milliseconds
+     */
+    public void everyMillis(long millis, Runnable action) {
+        controlLoop.scheduleWithFixedDelay(action, millis, millis, TimeUnit.MILLISECONDS);
+    }
+
     private boolean isReady() {
         return !stopping.get() && listed && gateway.deployment().isPresent();
     }
@@ -220,7 +243,7 @@
         }
         List<String> addresses =
                 told.stream().limit(MAX_ADDRESSES).map(Daemon::frontAddress).toList();
-        return SmallAnswer.json(DirectoryForm.answer(addresses, settings.bounds().maxTtlSeconds()));
+        return SmallAnswer.json(DirectoryForm.answer(addresses, bounds.maxTtlSeconds()));
     }
 
     private void handOver(SortedMap<Long, Map<AccountId, Long>> counts) {
--- a/edge/src/main/java/org/ragwortpitch/edge/Main.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Main.java
@@ -1,5 +1,6 @@
 package org.ragwortpitch.edge;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -18,6 +19,9 @@
     /** Where metrics are served; the deploy file names it too. */
     private static final int METRICS_PORT = 7615;
 
+    /** How often the settings file is looked at, in milliseconds; it may change without a signal. */
+    private static final long SETTINGS_MILLIS = 2_000;
+
     private Main() {}
 
     /**
@@ -35,6 +39,12 @@
             Edge edge = new Edge(InstanceFile.read(Path.of(file)), clockMillis, System::currentTimeMillis);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(edge), "shutdown"));
             edge.start(METRICS_PORT);
+            SettingsWatch watch = new SettingsWatch(Path.of(file), edge::reload);
+            watch.onHangUp();
+            edge.everyMillis(SETTINGS_MILLIS, watch::check);
+        } catch (IOException exception) {
+            System.err.println(file + " can't be read any more: " + exception.getMessage());
+            System.exit(WRONG_SETTINGS);
         } catch (InvalidSettingException exception) {
             System.err.println(exception.getMessage());
             System.exit(WRONG_SETTINGS);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -348,8 +348,9 @@
         if (sent) {
             ranAt++;
             exchange.ran();
+            exchange.crashed();
         }
-        if (sent && !mayRunElsewhere()) {
+        if (sent && (!mayRunElsewhere() || exchange.isSuspect())) {
             exchange.fail(BAD_GATEWAY, "broken: " + reason);
         } else {
             again("broken: " + reason, sent);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -16,6 +16,7 @@
 import org.ragwortpitch.edge.front.CallerRequest;
 import org.ragwortpitch.edge.http.OutboundRequest;
 import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.suspect.Fingerprint;
 
 /**
  * A request that was let in: what it is, how long it has, and its answer, which ends it. Confined to the traffic thread.
@@ -43,6 +44,7 @@
     private long lastPieceMillis;
     private long longestGapMillis;
     private int sends;
+    private Fingerprint fingerprint;
     private boolean counted;
     private boolean begun;
     private boolean done;
@@ -131,11 +133,36 @@
         }
     }
 
+    /**
+     * Notes that an endpoint broke off while it ran the request.
+     */
+    void crashed() {
+        // Requests without a body are alike too often to be told apart.
+        if (request.body().isReadable()) {
+            parts.suspects().crashed(fingerprint(), attemptId, parts.clockMillis().getAsLong());
+        }
+    }
+
+    /**
+     * Tells whether the request has crashed too many endpoints to be run again.
+     */
+    boolean isSuspect() {
+        return request.body().isReadable() && parts.suspects().isRefused(fingerprint(), parts.clockMillis().getAsLong());
+    }
+
+    private Fingerprint fingerprint() {
+        if (fingerprint == null) {
+            fingerprint = Suspects.fingerprint(request);
+        }
+        return fingerprint;
+    }
+
     /**
      * Passes an endpoint's whole answer on.
      */
     void pass(int status, HttpHeaders headers, ByteBuf body) {
         if (finish("passed", status, "")) {
+            ranWell();
             answer.whole(status, ForwardHeaders.ofAnswer(headers), body);
         }
     }
@@ -165,10 +192,17 @@
      */
     void endStream() {
         if (finish("streamed", HttpResponseStatus.OK.code(), "")) {
+            ranWell();
             answer.end();
         }
     }
 
+    private void ranWell() {
+        if (fingerprint != null) {
+            parts.suspects().finished(fingerprint, parts.clockMillis().getAsLong());
+        }
+    }
+
     /**
      * Refuses a request that has not run and won't.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -136,6 +136,10 @@
             exchange.refuse(UNAVAILABLE, UNCONFIGURED_MILLIS, "the route's pool isn't configured");
             return Cancellation.NONE;
         }
+        if (exchange.isSuspect()) {
+            exchange.refuse(UNAVAILABLE, 0, "the request has crashed endpoints");
+            return Cancellation.NONE;
+        }
         parts.repeats().request(pool.id(), now);
         if (pool.engine().isPresent() && generation.isPresent()) {
             EngineRun run = new EngineRun(parts, chooser, caller, exchange, pool.id(), generation.get());
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -14,7 +14,9 @@
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.placement.PeerLoad;
+import org.ragwortpitch.suspect.Fingerprint;
 import org.ragwortpitch.wire.generated.GossipProtocol.AccountSpend;
+import org.ragwortpitch.wire.generated.GossipProtocol.CrashedRequest;
 import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 import org.ragwortpitch.wire.generated.GossipProtocol.PoolReading;
@@ -34,6 +36,7 @@
     private final Fleet fleet;
     private final Accounts accounts;
     private final Demands demands;
+    private final Suspects suspects;
     private final BooleanSupplier ready;
     private final LongSupplier clockMillis;
     private Collection<EndpointId> changing = List.of();
@@ -51,6 +54,7 @@
             Fleet fleet,
             Accounts accounts,
             Demands demands,
+            Suspects suspects,
             BooleanSupplier ready,
             LongSupplier clockMillis) {
         this.self = self;
@@ -59,6 +63,7 @@
         this.fleet = fleet;
         this.accounts = accounts;
         this.demands = demands;
+        this.suspects = suspects;
         this.ready = ready;
         this.clockMillis = clockMillis;
     }
@@ -95,6 +100,9 @@
         for (PoolReading reading : gossip.getReadingsList()) {
             demands.peer(peer, gossip.getBornMillis(), new PoolId(reading.getPool()), reading.getTokens());
         }
+        gossip.getCrashesList()
+                .forEach(crash ->
+                        suspects.learn(new Fingerprint(crash.getFingerprint()), crash.getCrashes(), now));
         fleet.avoid(
                 gossip.getChangingList().stream().map(EndpointId::new).toList(), now + CHANGING_MILLIS);
         forget(peer);
@@ -136,6 +144,8 @@
                 .setReady(ready.getAsBoolean());
         accounts.eachSpent((account, tokens) -> gossip.addSpends(
                 AccountSpend.newBuilder().setAccount(account.value()).setTokens(tokens)));
+        suspects.takeFresh((request, crashes) -> gossip.addCrashes(
+                CrashedRequest.newBuilder().setFingerprint(request.value()).setCrashes(crashes)));
         changing.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         demands.eachOwn((pool, tokens) -> gossip.addReadings(
                 PoolReading.newBuilder().setPool(pool.value()).setTokens(tokens)));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RepeatBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RepeatBudgets.java
@@ -12,7 +12,7 @@
  */
 public final class RepeatBudgets {
 
-    private final InstanceSettings.Bounds bounds;
+    private InstanceSettings.Bounds bounds;
     private final IntSupplier daemons;
     private final Map<PoolId, RepeatBudget> budgets = new HashMap<>();
 
@@ -26,6 +26,16 @@
         this.daemons = daemons;
     }
 
+    /**
+     * Takes new bounds over; what was counted so far is forgotten.
+     */
+    public void configure(InstanceSettings.Bounds newBounds) {
+        if (!newBounds.equals(bounds)) {
+            bounds = newBounds;
+            budgets.clear();
+        }
+    }
+
     /**
      * Notes a request of a caller.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -237,7 +237,8 @@
             }
             ranAt++;
             exchange.ran();
-            if (mayRunElsewhere()) {
+            exchange.crashed();
+            if (mayRunElsewhere() && !exchange.isSuspect()) {
                 retryOrGiveUp("broken: " + breakage.reason(), true);
             } else {
                 exchange.fail(BAD_GATEWAY, "broken: " + breakage.reason());
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
@@ -26,4 +26,5 @@
         RepeatBudgets repeats,
         WindowCounts usage,
         Demands demands,
+        Suspects suspects,
         EdgeMetrics metrics) {}
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
@@ -0,0 +1,65 @@
+package org.ragwortpitch.edge.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.identity.InstanceId;
+
+/**
+ * Tests which daemons callers are sent to.
+ */
+class PeerViewTest {
+
+    private static final FailureDomain NEAR = new FailureDomain("near");
+
+    private static final InstanceId A = new InstanceId("a");
+
+    private static final InstanceId B = new InstanceId("b");
+
+    private final PeerView view = new PeerView();
+
+    private void listBoth() {
+        view.apply(List.of(
+                new Daemon(A, 1, new FailureDomain("far"), "10.0.0.1:80", "10.0.0.1:90"),
+                new Daemon(B, 1, NEAR, "10.0.0.2:80", "10.0.0.2:90")));
+    }
+
+    @Test
+    void testSilentDaemonsGetNoCallers() {
+        listBoth();
+        view.hear(A, 1, 1, true, 0);
+        assertEquals(1, view.ready(NEAR, 1_500).size());
+        assertEquals(0, view.ready(NEAR, 1_501).size());
+        assertEquals(2, view.heardCount(1_000));
+        assertEquals(3, view.count());
+    }
+
+    @Test
+    void testNearDaemonsComeFirst() {
+        listBoth();
+        view.hear(A, 1, 1, true, 0);
+        view.hear(B, 1, 1, true, 0);
+        assertEquals(B, view.ready(NEAR, 0).get(0).id());
+    }
+
+    @Test
+    void testLeavingDaemonGetsNoCallers() {
+        listBoth();
+        view.hear(A, 1, 1, true, 0);
+        view.hear(A, 1, 2, false, 10);
+        assertTrue(view.ready(NEAR, 10).isEmpty());
+    }
+
+    @Test
+    void testLateAndOldWordsAreIgnored() {
+        assertTrue(view.hear(A, 2, 5, true, 0));
+        assertFalse(view.hear(A, 2, 4, false, 1));
+        assertFalse(view.hear(A, 1, 9, false, 1));
+        assertTrue(view.hear(A, 3, 1, true, 1));
+    }
+}
--- a/policy/src/main/java/org/ragwortpitch/suspect/SuspectBook.java
+++ b/policy/src/main/java/org/ragwortpitch/suspect/SuspectBook.java
@@ -25,11 +25,32 @@
      */
     private static final int MAX_SUSPECTS = 10_000;
 
+    /**
+     * At how many crashes this book refuses.
+     */
+    private final int refusedAt;
+
     /**
      * The suspects, oldest first.
      */
     private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
 
+    /**
+     * Makes an empty book that refuses at the usual count.
+     */
+    public SuspectBook() {
+        this(REFUSED_AT);
+    }
+
+    /**
+     * Makes an empty book.
+     *
+     * @param refusedAt at how many crashes a request is refused
+     */
+    public SuspectBook(int refusedAt) {
+        this.refusedAt = refusedAt;
+    }
+
     /**
      * Notes that a request was under way when an endpoint crashed.
      *
@@ -64,7 +85,7 @@
      * @param nowMillis the present time, of the monotonic clock
      */
     public void finished(Fingerprint request, long nowMillis) {
-        if (crashesOf(request, nowMillis) < REFUSED_AT) {
+        if (crashesOf(request, nowMillis) < refusedAt) {
             entries.remove(request);
         }
     }
@@ -81,7 +102,7 @@
         if (crashes == 0) {
             return Suspicion.NONE;
         }
-        return crashes < REFUSED_AT ? Suspicion.SUSPECT : Suspicion.REFUSED;
+        return crashes < refusedAt ? Suspicion.SUSPECT : Suspicion.REFUSED;
     }
 
     /**
