Refuse requests that state their length twice; test connections both ways

Cause: the usual decoder dropped Content-Length where Transfer-Encoding stood beside it, so that such a request was served; found by the new test, which failed first. Change: the decoder leaves both, and the check refuses them.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -43,6 +43,7 @@
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.scaling.PoolDemand;
+import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 
 /**
  * A daemon: one thread for traffic, one for control, and what passes between them.
@@ -96,45 +97,60 @@
     private final RepeatBudgets repeats;
     private final Gateway gateway;
     private final Control control;
-    private FrontServer front;
-    private Gossiper gossiper;
+    private final FrontServer front;
+    private final SmallServer ready;
+    private final SmallServer directory;
+    private final Gossiper gossiper;
     private volatile InstanceSettings.Bounds bounds;
     private Collection<Endpoint> endpoints = List.of();
     private boolean listed;
 
     /**
-     * Makes a daemon; {@link #start} starts it.
+     * Makes a daemon that listens; {@link #start} has it follow the store.
      *
+     * @param metricsPort where metrics are served
      */
-    public Edge(InstanceSettings settings, LongSupplier clockMillis, LongSupplier wallMillis) {
+    public Edge(InstanceSettings settings, int metricsPort, LongSupplier clockMillis, LongSupplier wallMillis) {
         this.settings = settings;
         this.bounds = settings.bounds();
         this.clockMillis = clockMillis;
         this.wallMillis = wallMillis;
-        NioEventLoopGroup traffic = new NioEventLoopGroup(1);
-        NioEventLoopGroup controlGroup = new NioEventLoopGroup(1);
-        closer.add(() -> traffic.shutdownGracefully(0, 1, TimeUnit.SECONDS));
-        closer.add(() -> controlGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS));
-        trafficLoop = traffic.next();
-        controlLoop = controlGroup.next();
+        trafficLoop = loop();
+        controlLoop = loop();
+        usage = new WindowCounts(bounds.usageWindowMillis());
+        accounts = new Accounts(settings.firstStart());
+        ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_MILLIS, clockMillis);
+        fleet = new Fleet(connections::forget);
+        repeats = new RepeatBudgets(bounds, peers::count);
+        gateway = new Gateway(
+                new TrafficParts(
+                        trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, accounts, repeats,
+                        usage, demands, suspects, metrics),
+                new HttpCaller(trafficLoop, connections));
+        front = closer.add(new FrontServer(
+                trafficLoop, socketAddress(settings.frontAddress()), gateway::limits, gateway, clockMillis));
+        GossipSocket socket = closer.add(new GossipSocket(
+                trafficLoop,
+                new InetSocketAddress(settings.ip(), settings.peerPort()),
+                this::heard));
         self = new Daemon(
                 settings.instance(),
                 wallMillis.getAsLong(),
                 settings.domain(),
-                settings.frontAddress(),
-                settings.ip() + ":" + settings.peerPort());
-        usage = new WindowCounts(settings.bounds().usageWindowMillis());
-        accounts = new Accounts(settings.firstStart());
-        ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_MILLIS, clockMillis);
-        fleet = new Fleet(connections::forget);
-        repeats = new RepeatBudgets(settings.bounds(), peers::count);
-        TrafficParts parts = new TrafficParts(
-                trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, accounts, repeats, usage, demands, suspects, metrics);
-        gateway = new Gateway(parts, new HttpCaller(trafficLoop, connections));
-        ConnectionPool controlConnections = new ConnectionPool(controlLoop, CONNECT_MILLIS, clockMillis);
+                text(front.address()),
+                text(socket.address()));
+        gossiper = new Gossiper(self, socket, peers, fleet, accounts, demands, suspects, this::isReady, clockMillis);
+        ready = closer.add(new SmallServer(
+                trafficLoop, socketAddress(settings.readyAddress()), query -> readiness()));
+        directory = closer.add(
+                new SmallServer(trafficLoop, socketAddress(settings.directoryAddress()), this::directory));
+        closer.add(new SmallServer(
+                trafficLoop,
+                new InetSocketAddress(settings.ip(), metricsPort),
+                query -> new SmallAnswer(READY, "text/plain; charset=utf-8", metrics.scrape())));
         control = new Control(
                 controlLoop,
-                new HttpCaller(controlLoop, controlConnections),
+                new HttpCaller(controlLoop, new ConnectionPool(controlLoop, CONNECT_MILLIS, clockMillis)),
                 settings,
                 self,
                 new ToTraffic(),
@@ -143,27 +159,26 @@
                 wallMillis);
     }
 
+    private void heard(Gossip gossip) {
+        gossiper.heard(gossip);
+    }
+
+    private EventLoop loop() {
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        closer.add(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS));
+        return group.next();
+    }
+
     /**
-     * Starts to listen and to follow the store.
-     *
-     * @param metricsPort where metrics are served
+     * Starts to follow the store and to tell other daemons.
      */
-    public void start(int metricsPort) {
-        front = closer.add(new FrontServer(
-                trafficLoop, socketAddress(settings.frontAddress()), gateway::limits, gateway, clockMillis));
-        closer.add(new SmallServer(trafficLoop, socketAddress(settings.readyAddress()), query -> readiness()));
-        closer.add(new SmallServer(trafficLoop, socketAddress(settings.directoryAddress()), this::directory));
-        closer.add(new SmallServer(
-                trafficLoop,
-                new InetSocketAddress(settings.ip(), metricsPort),
-                query -> SmallAnswer.text(READY, new String(metrics.scrape(), java.nio.charset.StandardCharsets.UTF_8))));
-        GossipSocket socket = closer.add(new GossipSocket(
-                trafficLoop, socketAddress(self.peerAddress()), gossip -> gossiper.heard(gossip)));
-        gossiper = new Gossiper(self, socket, peers, fleet, accounts, demands, suspects, this::isReady, clockMillis);
+    public void start() {
+        trafficLoop.scheduleWithFixedDelay(gossiper::tell, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
-                gossiper::tell, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
-        trafficLoop.scheduleWithFixedDelay(
-                () -> handOver(usage.takeEnded(wallMillis.getAsLong())), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
+                () -> handOver(usage.takeEnded(wallMillis.getAsLong())),
+                USAGE_MILLIS,
+                USAGE_MILLIS,
+                TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(this::tellDemand, DEMAND_MILLIS, DEMAND_MILLIS, TimeUnit.MILLISECONDS);
         controlLoop.execute(control::start);
         Event started = Event.of("started").with("born", self.bornMillis());
@@ -171,6 +186,27 @@
         started.info(LOGGER);
     }
 
+    /**
+     * Tells where callers connect.
+     */
+    public InetSocketAddress frontAddress() {
+        return front.address();
+    }
+
+    /**
+     * Tells where the platform asks whether this daemon takes requests.
+     */
+    public InetSocketAddress readyAddress() {
+        return ready.address();
+    }
+
+    /**
+     * Tells where callers ask for addresses.
+     */
+    public InetSocketAddress directoryAddress() {
+        return directory.address();
+    }
+
     /**
      * Stops gracefully: takes no new callers, answers what was asked, hands duties and counts over.
      *
@@ -257,6 +293,10 @@
         controlLoop.execute(() -> control.demanded(sample));
     }
 
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     private static InetSocketAddress socketAddress(String address) {
         int colon = address.lastIndexOf(':');
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
--- a/edge/src/main/java/org/ragwortpitch/edge/Main.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Main.java
@@ -36,9 +36,10 @@
         }
         LongSupplier clockMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
         try {
-            Edge edge = new Edge(InstanceFile.read(Path.of(file)), clockMillis, System::currentTimeMillis);
+            Edge edge = new Edge(
+                    InstanceFile.read(Path.of(file)), METRICS_PORT, clockMillis, System::currentTimeMillis);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(edge), "shutdown"));
-            edge.start(METRICS_PORT);
+            edge.start();
             SettingsWatch watch = new SettingsWatch(Path.of(file), edge::reload);
             watch.onHangUp();
             edge.everyMillis(SETTINGS_MILLIS, watch::check);
--- a/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
@@ -68,8 +67,7 @@
                                 new CallerConnection(FrontServer.this, handler, limits, clockMillis);
                         channel.pipeline()
                                 .addLast(connection.byteWatch())
-                                .addLast(new HttpRequestDecoder(
-                                        now.maxHeaderBytes(), now.maxHeaderBytes(), MAX_CHUNK_BYTES))
+                                .addLast(new StrictRequestDecoder(now.maxHeaderBytes(), MAX_CHUNK_BYTES))
                                 .addLast(new HttpResponseEncoder())
                                 .addLast(connection);
                     }
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
@@ -0,0 +1,170 @@
+package org.ragwortpitch.edge.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ragwortpitch.deployment.CallerLimits;
+import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.edge.standin.Loops;
+
+/**
+ * Tests what callers may send, and what they get.
+ */
+class FrontServerTest {
+
+    private static final CallerLimits LIMITS = new CallerLimits(1_000, 100, 300, 1_000);
+
+    private final Loops loops = new Loops();
+
+    private final List<String> handled = java.util.Collections.synchronizedList(new ArrayList<>());
+
+    private final CountDownLatch left = new CountDownLatch(1);
+
+    private final FrontServer server = new FrontServer(
+            loops.loop(),
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            () -> LIMITS,
+            this::handle,
+            Loops.CLOCK_MILLIS);
+
+    @AfterEach
+    void close() {
+        server.close();
+        loops.close();
+    }
+
+    private Cancellation handle(CallerRequest request, CallerAnswer answer) {
+        String body = request.body().toString(StandardCharsets.US_ASCII);
+        handled.add(request.method() + " " + request.target() + " " + body);
+        switch (request.path()) {
+            case "/wait" -> {
+                return left::countDown;
+            }
+            case "/stream" -> {
+                answer.begin(200, new DefaultHttpHeaders());
+                answer.piece(Unpooled.copiedBuffer("one", StandardCharsets.US_ASCII));
+                answer.end();
+            }
+            case "/broken" -> {
+                answer.begin(200, new DefaultHttpHeaders());
+                answer.piece(Unpooled.copiedBuffer("one", StandardCharsets.US_ASCII));
+                loops.loop().schedule(answer::abort, 50, TimeUnit.MILLISECONDS);
+            }
+            default -> answer.whole(
+                    200, new DefaultHttpHeaders(), Unpooled.copiedBuffer("ok", StandardCharsets.US_ASCII));
+        }
+        return Cancellation.NONE;
+    }
+
+    /**
+     * Sends bytes and reads until the server closes or nothing comes for a while.
+     */
+    private String talk(String bytes) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
+            socket.setSoTimeout(800);
+            socket.getOutputStream().write(bytes.replace("~", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            StringBuilder text = new StringBuilder();
+            try {
+                for (int next = socket.getInputStream().read(); next >= 0; next = socket.getInputStream().read()) {
+                    text.append((char) next);
+                }
+                text.append("<closed>");
+            } catch (java.net.SocketTimeoutException exception) {
+                text.append("<open>");
+            }
+            return text.toString();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "POST /a HTTP/1.1~Content-Length: 3~Transfer-Encoding: chunked~~0~~|400",
+                "POST /a HTTP/1.1~Content-Length: 3~Content-Length: 4~~abcd|400",
+                "POST /a HTTP/1.1~Content-Length: +3~~abc|400",
+                "POST /a HTTP/1.1~Transfer-Encoding: gzip, chunked~~0~~|400",
+                "POST /a HTTP/1.1~Transfer-Encoding: xchunked~~0~~|400",
+                "POST /a HTTP/1.1~Transfer-Encoding: chunked~~zz~~|400",
+                "GET /a HTTP/1.1~Host: a~Host: b~~|400",
+                "nonsense~~|400",
+                "POST /a HTTP/1.1~Content-Length: 101~~|413",
+                "GET /a HTTP/1.1~Slow: |408"
+            })
+    void testBadRequestIsRefusedAndNothingRuns(String bytes, int status) throws IOException {
+        String answer = talk(bytes);
+        assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+        assertTrue(answer.endsWith("<closed>"), answer);
+        assertTrue(handled.isEmpty(), handled.toString());
+    }
+
+    @Test
+    void testTooLongHeadersAreRefused() throws IOException {
+        assertTrue(talk("GET /a HTTP/1.1~X: " + "x".repeat(1_200) + "~~").startsWith("HTTP/1.1 431"));
+    }
+
+    @Test
+    void testRequestHiddenInABodyStaysABody() throws IOException {
+        String hidden = "GET /hidden HTTP/1.1~~";
+        talk("POST /a HTTP/1.1~Content-Length: 24~~" + hidden);
+        assertEquals(List.of("POST /a GET /hidden HTTP/1.1\r\n\r\n"), handled);
+    }
+
+    @Test
+    void testRequestsSentAheadAreAnsweredInOrder() throws IOException {
+        String answer = talk("GET /a HTTP/1.1~~POST /b HTTP/1.1~Transfer-Encoding: chunked~~3~xyz~0~~GET /c HTTP/1.1~~");
+        assertEquals(3, answer.split("HTTP/1.1 200").length - 1);
+        assertEquals(List.of("GET /a ", "POST /b xyz", "GET /c "), handled);
+    }
+
+    @Test
+    void testStreamEndsWithItsLastChunk() throws IOException {
+        assertTrue(talk("GET /stream HTTP/1.1~~").contains("3\r\none\r\n0\r\n\r\n"));
+    }
+
+    @Test
+    void testBrokenStreamNeverLooksWhole() throws IOException {
+        String answer = talk("GET /broken HTTP/1.1~~");
+        assertTrue(answer.endsWith("3\r\none\r\n<closed>"), answer);
+    }
+
+    @Test
+    void testCallerThatLeavesIsNoticed() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
+            socket.getOutputStream().write("GET /wait HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(100);
+        }
+        assertTrue(left.await(2, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void testDrainingServerAsksToClose() throws IOException {
+        loops.loop().execute(server::drain);
+        String answer = talk("GET /a HTTP/1.1~~");
+        assertTrue(answer.toLowerCase(java.util.Locale.ROOT).contains("connection: close"), answer);
+        assertTrue(answer.endsWith("<closed>"), answer);
+    }
+
+    @Test
+    void testSilentConnectionIsClosed() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
+            socket.setSoTimeout(3_000);
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
@@ -0,0 +1,145 @@
+package org.ragwortpitch.edge.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ragwortpitch.edge.standin.Loops;
+import org.ragwortpitch.edge.standin.ScriptedPeer;
+
+/**
+ * Tests what becomes of answers that are whole, torn, unframed, strange or somebody else's.
+ */
+class ConnectionPoolTest {
+
+    private static final String WHOLE = "HTTP/1.1 200 OK\\r\\nX-Ragwortpitch-Attempt-Id: me\\r\\nContent-Length: 2\\r\\n\\r\\nok";
+
+    private final Loops loops = new Loops();
+
+    private final ConnectionPool pool = new ConnectionPool(loops.loop(), 500, Loops.CLOCK_MILLIS);
+
+    @AfterEach
+    void close() {
+        loops.close();
+    }
+
+    private String send(String address) throws Exception {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        OutboundRequest request = new OutboundRequest(
+                "POST",
+                "/x",
+                new DefaultHttpHeaders(),
+                Unpooled.copiedBuffer("body", StandardCharsets.US_ASCII),
+                "me");
+        loops.loop().execute(() -> pool.send(address, request, Long.MAX_VALUE, new Recorder(outcome)));
+        return outcome.get(5, TimeUnit.SECONDS);
+    }
+
+    private static String unescaped(String script) {
+        return script.replace("\\r\\n", "\r\n");
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                WHOLE + "|200 ok framed",
+                "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n2\\r\\nok\\r\\n0\\r\\n\\r\\n|200 ok framed",
+                "HTTP/1.1 200 OK\\r\\n\\r\\nok<close>|200 ok unframed",
+                "HTTP/1.1 200 OK\\r\\n\\r\\nok<reset>|broken sent",
+                "HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nok<close>|broken sent",
+                "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n2\\r\\nok\\r\\n<close>|broken sent",
+                "what is this\\r\\n\\r\\n<close>|broken sent",
+                "<close>|broken sent",
+                "<reset>|broken sent",
+                "HTTP/1.1 100 Continue\\r\\n\\r\\n" + WHOLE + "|200 ok framed",
+                "HTTP/1.1 200 OK\\r\\nX-Ragwortpitch-Attempt-Id: other\\r\\nContent-Length: 3\\r\\n\\r\\nbad" + WHOLE
+                        + "|200 ok framed"
+            })
+    void testAnswerIsTakenForWhatItIs(String script, String expected) throws Exception {
+        try (ScriptedPeer peer = new ScriptedPeer(unescaped(script))) {
+            assertEquals(expected, send(peer.address()));
+        }
+    }
+
+    @Test
+    void testConnectionIsUsedAgain() throws Exception {
+        try (ScriptedPeer peer = new ScriptedPeer(unescaped(WHOLE))) {
+            send(peer.address());
+            send(peer.address());
+            assertEquals(1, peer.connections());
+            assertTrue(peer.requests().get(1).endsWith("\r\n\r\nbody"));
+        }
+    }
+
+    @Test
+    void testConnectionWithBytesTooManyIsNotUsedAgain() throws Exception {
+        try (ScriptedPeer peer = new ScriptedPeer(unescaped(WHOLE + WHOLE), unescaped(WHOLE))) {
+            assertEquals("200 ok framed", send(peer.address()));
+            Thread.sleep(100);
+            assertEquals("200 ok framed", send(peer.address()));
+            assertEquals(2, peer.connections());
+        }
+    }
+
+    @Test
+    void testNothingWasSentWhereNobodyListens() throws IOException, Exception {
+        int free;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            free = socket.getLocalPort();
+        }
+        assertEquals("broken unsent", send("127.0.0.1:" + free));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"timeout=5, 4500", "'max=3, timeout=1', 500", "timeout=0, 0"})
+    void testIdleTimeOfTheOtherSideIsKept(String header, long millis) {
+        assertEquals(millis, KeepAlive.limitMillis(header));
+        assertEquals(Long.MAX_VALUE, KeepAlive.limitMillis(null));
+    }
+
+    /**
+     * Puts an outcome into words.
+     */
+    private static final class Recorder implements ResponseListener {
+
+        private final CompletableFuture<String> outcome;
+        private final StringBuilder text = new StringBuilder();
+
+        Recorder(CompletableFuture<String> outcome) {
+            this.outcome = outcome;
+        }
+
+        @Override
+        public void onHead(int status, HttpHeaders headers) {
+            text.append(status).append(' ');
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {
+            text.append(content.toString(StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public void onEnd(boolean framed) {
+            outcome.complete(text + (framed ? " framed" : " unframed"));
+        }
+
+        @Override
+        public void onBroken(Breakage breakage) {
+            outcome.complete("broken " + (breakage.sent() ? "sent" : "unsent"));
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Loops.java
@@ -0,0 +1,25 @@
+package org.ragwortpitch.edge.standin;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * A thread of the network for a test.
+ */
+public final class Loops implements AutoCloseable {
+
+    public static final LongSupplier CLOCK_MILLIS = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+    public EventLoop loop() {
+        return group.next();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
@@ -0,0 +1,105 @@
+package org.ragwortpitch.edge.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * Answers each request, whatever it is, with the next of some prepared bytes, and then does what they end with.
+ */
+public final class ScriptedPeer implements AutoCloseable {
+
+    /** Ends a script with an orderly close. */
+    public static final String CLOSE = "<close>";
+
+    /** Ends a script with a reset. */
+    public static final String RESET = "<reset>";
+
+    private final ServerSocket listening;
+    private final List<String> scripts;
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private volatile int connections;
+
+    public ScriptedPeer(String... scripts) throws IOException {
+        this.scripts = new CopyOnWriteArrayList<>(scripts);
+        this.listening = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::accept, "scripted-peer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    public String address() {
+        return "127.0.0.1:" + listening.getLocalPort();
+    }
+
+    public int connections() {
+        return connections;
+    }
+
+    public List<String> requests() {
+        return requests;
+    }
+
+    private void accept() {
+        while (!listening.isClosed()) {
+            try {
+                Socket socket = listening.accept();
+                connections++;
+                Thread thread = new Thread(() -> serve(socket), "scripted-connection");
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException exception) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            while (true) {
+                requests.add(readRequest(in));
+                String script = scripts.size() > 1 ? scripts.remove(0) : scripts.get(0);
+                String bytes = script.replace(CLOSE, "").replace(RESET, "");
+                socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+                socket.getOutputStream().flush();
+                if (script.endsWith(RESET)) {
+                    Thread.sleep(50);
+                    socket.setSoLinger(true, 0);
+                    return;
+                }
+                if (script.endsWith(CLOSE)) {
+                    return;
+                }
+            }
+        } catch (IOException | InterruptedException exception) {
+            // The other side has ended the connection, or the test is over.
+            return;
+        }
+    }
+
+    private static String readRequest(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("closed");
+            }
+            head.append((char) next);
+        }
+        String lower = head.toString().toLowerCase(java.util.Locale.ROOT);
+        int at = lower.indexOf("content-length:");
+        int length = at < 0 ? 0 : Integer.parseInt(lower.substring(at + 15, lower.indexOf("\r\n", at)).trim());
+        return head + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        listening.close();
+    }
+}
