--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -277,10 +277,9 @@
         if (exchange.isDone()) {
             return;
         }
+        ranAt(run);
         if (!exchange.isBegun()) {
             run.target().health().succeeded();
-            ranAt = Math.max(1, ranAt);
-            exchange.ran();
             exchange.begin(200, run.headers());
             parts.metrics().firstEvent(exchange.route(), now() - exchange.request().arrivedMillis());
         }
@@ -328,8 +327,7 @@
             return;
         }
         run.target().health().failed(false, now());
-        ranAt++;
-        exchange.ran();
+        ranAt(run);
         if (exchange.isBegun() || mayRunElsewhere()) {
             tried.add(run.target().endpoint().id());
             again("answered " + status, true);
@@ -346,8 +344,7 @@
         }
         tried.add(run.target().endpoint().id());
         if (sent) {
-            ranAt++;
-            exchange.ran();
+            ranAt(run);
             exchange.crashed();
         }
         if (sent && (!mayRunElsewhere() || exchange.isSuspect())) {
@@ -380,6 +377,13 @@
         return true;
     }
 
+    private void ranAt(StreamRun run) {
+        if (run.countOnce()) {
+            ranAt++;
+            exchange.ran();
+        }
+    }
+
     private boolean mayRunElsewhere() {
         return exchange.route().resumable() && ranAt < exchange.route().maxEndpoints();
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamRun.java
@@ -27,6 +27,7 @@
     private boolean ended;
     private boolean reading = true;
     private boolean gotEvents;
+    private boolean counted;
     private int status;
     private HttpHeaders headers;
 
@@ -49,6 +50,15 @@
         return gotEvents;
     }
 
+    /**
+     * Tells whether the run hasn't been counted before, and counts it.
+     */
+    boolean countOnce() {
+        boolean first = !counted;
+        counted = true;
+        return first;
+    }
+
     void start(TrafficParts parts, OutboundRequest request) {
         target.begin();
         target.engine().begin(tokens, uncachedTokens);
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -0,0 +1,135 @@
+package org.ragwortpitch.edge.standin;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.ragwortpitch.contract.Headers;
+import org.ragwortpitch.deployment.CallerLimits;
+import org.ragwortpitch.edge.front.CallerAnswer;
+import org.ragwortpitch.edge.front.CallerRequest;
+import org.ragwortpitch.edge.front.FrontServer;
+import org.ragwortpitch.edge.http.Cancellation;
+
+/**
+ * Stands in for an endpoint: a plain service, or an engine that reads prompts or makes five events.
+ */
+public final class StandinEndpoint implements AutoCloseable {
+
+    /** What an endpoint does with requests. */
+    public enum Mode {
+        /** Answers well. */
+        GOOD,
+        /** Refuses before it runs anything. */
+        FULL,
+        /** Breaks off in the middle of the third event, or of a whole answer. */
+        BREAKING,
+        /** Answers with an error of its own. */
+        FAILING,
+        /** Never answers. */
+        SILENT
+    }
+
+    private static final int EVENTS = 5;
+
+    private static final int BROKEN_AT = 3;
+
+    private final Loops loops = new Loops();
+    private final String id;
+    private final List<HttpHeaders> runs = new CopyOnWriteArrayList<>();
+    private final FrontServer server;
+    private volatile Mode mode = Mode.GOOD;
+
+    public StandinEndpoint(String id) {
+        this.id = id;
+        server = new FrontServer(
+                loops.loop(),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> CallerLimits.DEFAULT,
+                this::handle,
+                Loops.CLOCK_MILLIS);
+    }
+
+    public void mode(Mode newMode) {
+        mode = newMode;
+    }
+
+    /**
+     * Tells the headers of the requests that it ran.
+     */
+    public List<HttpHeaders> runs() {
+        return runs;
+    }
+
+    /**
+     * Lists itself.
+     *
+     * @param stage prefill, decode, or empty for a plain service
+     */
+    public void list(StandinStore store, String pool, String stage, String state) {
+        String entry = "{\"Service\":\"" + pool + "\",\"Address\":\"127.0.0.1:"
+                + server.address().getPort() + "\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"" + state + "\",\"Stage\":\""
+                + stage + "\",\"Sequence\":1,\"born\":1}";
+        store.put("keyed.servers", "servers/" + id, entry);
+    }
+
+    private Cancellation handle(CallerRequest request, CallerAnswer answer) {
+        HttpHeaders headers = new DefaultHttpHeaders()
+                .set(Headers.ATTEMPT, String.valueOf(request.headers().get(Headers.ATTEMPT)));
+        if (!id.equals(request.headers().get(Headers.TARGET))) {
+            answer.whole(421, headers.set(Headers.NOT_RUN, 1), Unpooled.EMPTY_BUFFER);
+        } else if (mode == Mode.FULL) {
+            answer.whole(503, headers.set(Headers.NOT_RUN, 1), Unpooled.EMPTY_BUFFER);
+        } else if (mode != Mode.SILENT) {
+            run(request, answer, headers);
+        }
+        return Cancellation.NONE;
+    }
+
+    private void run(CallerRequest request, CallerAnswer answer, HttpHeaders headers) {
+        if (request.headers().contains(Headers.ROLE)) {
+            answer.whole(200, headers, text("{\"CacheHandle\":\"h1\",\"Tokens\":1,\"Version\":1}"));
+            return;
+        }
+        runs.add(request.headers());
+        headers.set(Headers.SEAL, "seal-" + id);
+        if (mode == Mode.FAILING) {
+            answer.whole(500, headers, text("failed"));
+        } else if (request.headers().contains(Headers.TOKENS)) {
+            stream(request, answer, headers);
+        } else if (mode == Mode.BREAKING) {
+            answer.begin(200, headers);
+            answer.abort();
+        } else {
+            answer.whole(200, headers, text("done by " + id));
+        }
+    }
+
+    private void stream(CallerRequest request, CallerAnswer answer, HttpHeaders headers) {
+        answer.begin(200, headers);
+        String last = request.headers().get(Headers.LAST_EVENT);
+        for (int event = last == null ? 1 : Integer.parseInt(last) + 1; event <= EVENTS; event++) {
+            if (mode == Mode.BREAKING && event == BROKEN_AT) {
+                answer.piece(text("id: " + event + "\nda"));
+                loops.loop().execute(answer::abort);
+                return;
+            }
+            answer.piece(text("id: " + event + "\ndata: x\n\n"));
+        }
+        answer.end();
+    }
+
+    private static io.netty.buffer.ByteBuf text(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        loops.close();
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -0,0 +1,169 @@
+package org.ragwortpitch.edge.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.ragwortpitch.contract.FormException;
+import org.ragwortpitch.contract.KeyedRecord;
+import org.ragwortpitch.contract.StoreForm;
+import org.ragwortpitch.deployment.CallerLimits;
+import org.ragwortpitch.edge.front.CallerAnswer;
+import org.ragwortpitch.edge.front.CallerRequest;
+import org.ragwortpitch.edge.front.FrontServer;
+import org.ragwortpitch.edge.http.Cancellation;
+
+/**
+ * Stands in for the platform's store and its calls for duties: topics in memory, one holder of everything.
+ */
+public final class StandinStore implements AutoCloseable {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final long POLL_MILLIS = 20;
+
+    private final Loops loops = new Loops();
+    private final Map<String, List<byte[]>> topics = new HashMap<>();
+    private final List<String> duties = new CopyOnWriteArrayList<>();
+    private final FrontServer server;
+    private volatile boolean down;
+    private String holder;
+
+    public StandinStore() {
+        server = new FrontServer(
+                loops.loop(),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> CallerLimits.DEFAULT,
+                this::handle,
+                Loops.CLOCK_MILLIS);
+    }
+
+    public String address() {
+        return "127.0.0.1:" + server.address().getPort();
+    }
+
+    /**
+     * Refuses all calls from now on, or serves them again.
+     */
+    public void down(boolean isDown) {
+        down = isDown;
+    }
+
+    /**
+     * Tells the calls for duties so far.
+     */
+    public List<String> duties() {
+        return duties;
+    }
+
+    /**
+     * Writes a record as the operator or an endpoint does.
+     */
+    public void put(String topic, String key, String value) {
+        byte[] record = StoreForm.keyed(key, value.getBytes(StandardCharsets.UTF_8));
+        loops.loop().execute(() -> topic(topic).add(record));
+    }
+
+    private List<byte[]> topic(String name) {
+        return topics.computeIfAbsent(name, key -> new ArrayList<>());
+    }
+
+    private Cancellation handle(CallerRequest request, CallerAnswer answer) {
+        if (down) {
+            answer.whole(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+            return Cancellation.NONE;
+        }
+        QueryStringDecoder query = new QueryStringDecoder(request.target());
+        try {
+            switch (query.path()) {
+                case "/log-newest" -> json(answer, newest(field(query, "Topic")));
+                case "/log-append" -> json(answer, append(field(query, "Topic"), request.body()));
+                case "/log-join" -> json(answer, join(request));
+                case "/log-leave" -> json(answer, Map.of());
+                case "/log-read" -> read(query, answer, Loops.CLOCK_MILLIS.getAsLong());
+                default -> {
+                    duties.add(request.path() + " " + request.body().toString(StandardCharsets.UTF_8));
+                    json(answer, Map.of());
+                }
+            }
+        } catch (IOException | FormException exception) {
+            answer.whole(400, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        }
+        return Cancellation.NONE;
+    }
+
+    private Map<String, Object> newest(String topic) throws FormException {
+        Map<String, Map<String, Object>> items = new LinkedHashMap<>();
+        List<byte[]> records = topic(topic);
+        for (int offset = 0; offset < records.size(); offset++) {
+            KeyedRecord entry = StoreForm.keyedRecord(records.get(offset), offset);
+            items.remove(entry.key());
+            if (entry.value().length > 0) {
+                String value = Base64.getEncoder().encodeToString(entry.value());
+                items.put(entry.key(), Map.of("Key", entry.key(), "Value", value, "Offset", offset));
+            }
+        }
+        return Map.of("items", items.values(), "HasMore", false, "EndOffset", records.size());
+    }
+
+    private Map<String, Object> append(String topic, ByteBuf body) {
+        List<byte[]> records = topic(topic);
+        int offset = records.size();
+        while (body.isReadable()) {
+            byte[] record = new byte[body.readInt()];
+            body.readBytes(record);
+            records.add(record);
+        }
+        return Map.of("Offset", offset, "EndOffset", records.size());
+    }
+
+    private Map<String, Object> join(CallerRequest request) throws IOException {
+        String member = MAPPER.readTree(request.body().toString(StandardCharsets.UTF_8))
+                .path("Member")
+                .asText();
+        holder = holder == null ? member : holder;
+        List<Object> row = List.of("duties", 0, 0);
+        return Map.of("Generation", 1, "parts", holder.equals(member) ? List.of(row) : List.of());
+    }
+
+    private void read(QueryStringDecoder query, CallerAnswer answer, long askedMillis) {
+        List<byte[]> records = topic(field(query, "Topic"));
+        int from = Integer.parseInt(field(query, "From"));
+        long waited = Loops.CLOCK_MILLIS.getAsLong() - askedMillis;
+        if (from >= records.size() && waited < Long.parseLong(field(query, "WaitMs"))) {
+            loops.loop().schedule(() -> read(query, answer, askedMillis), POLL_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        ByteBuf body = Unpooled.buffer().writeLong(records.size()).writeLong(0);
+        records.subList(Math.min(from, records.size()), records.size())
+                .forEach(record -> body.writeInt(record.length).writeBytes(record));
+        answer.whole(200, new DefaultHttpHeaders(), body);
+    }
+
+    private static String field(QueryStringDecoder query, String name) {
+        return query.parameters().get(name).get(0);
+    }
+
+    private static void json(CallerAnswer answer, Map<String, Object> body) throws IOException {
+        answer.whole(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(MAPPER.writeValueAsBytes(body)));
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        loops.close();
+    }
+}
