Plan a fleet only once all engines have listed themselves; learn slowness from every read

Change: the first plan waits for two heartbeats without a change; each read and first event corrects the estimate.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -26,7 +26,6 @@
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
-import org.ragwortpitch.scaling.EngineCount;
 import org.ragwortpitch.scaling.PoolDemand;
 
 /**
@@ -111,9 +110,10 @@
         }
         PoolDemand demand = demands.getOrDefault(pool.id(), new PoolDemand(0, 0));
         pool.scaling().ifPresent(spec -> {
-            EngineCount count = fleet.step(token, pool.id(), spec, listed, demand);
-            roles.step(token, pool.id(), pool.engine().get(), listed, count.decoders());
-            listener.onChanging(roles.changing());
+            fleet.step(token, pool.id(), spec, listed, demand).ifPresent(count -> {
+                roles.step(token, pool.id(), pool.engine().get(), listed, count.decoders());
+                listener.onChanging(roles.changing());
+            });
         });
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -40,12 +41,16 @@
     /** Where no engine was to be had, it is asked for again after this time, in milliseconds. */
     private static final long NONE_MILLIS = 3_000;
 
+    /** Without a change for this long, in milliseconds, all engines have listed themselves: two heartbeats. */
+    private static final long SETTLE_MILLIS = 2_400;
+
     private static final int CONFLICT = 409;
 
     private final PlatformCalls platform;
     private final InstanceId self;
     private final LongSupplier clockMillis;
     private final Map<Subject, Order> orders = new HashMap<>();
+    private final Map<PoolId, Sighting> sightings = new HashMap<>();
     private final Map<Subject, Long> noneUntilMillis = new HashMap<>();
     private final Map<PoolId, EngineNeed> needs = new HashMap<>();
 
@@ -58,12 +63,15 @@
     /**
      * Orders what the plan says and isn't there.
      *
-     * @return how many engines of each role the pool needs
+     * @return how many engines of each role the pool needs; empty while that can't be told yet
      */
-    EngineCount step(
+    Optional<EngineCount> step(
             long fencingToken, PoolId pool, ScalingSpec spec, Collection<Endpoint> endpoints, PoolDemand demand) {
         Map<FailureDomain, DomainFleet> now = present(pool, spec, endpoints);
         long nowMillis = clockMillis.getAsLong();
+        if (!needs.containsKey(pool) && !isSettled(pool, now, nowMillis)) {
+            return Optional.empty();
+        }
         EngineNeed need = needs.computeIfAbsent(pool, id -> new EngineNeed(firstReaders(now.values())));
         EngineCount count = need.count(demand, now.size(), nowMillis);
         Set<FailureDomain> without = now.keySet().stream()
@@ -80,7 +88,21 @@
             order(fencingToken, new Subject(pool, domain, false), plan.firm(), there.firm(), lateMillis);
             order(fencingToken, new Subject(pool, domain, true), plan.reclaimable(), there.reclaimable(), lateMillis);
         });
-        return count;
+        return Optional.of(count);
+    }
+
+    /**
+     * Tells whether no engine has come or gone for a while: at the first start they list themselves one by one, and a
+     * plan from a part of them would be too small.
+     */
+    private boolean isSettled(PoolId pool, Map<FailureDomain, DomainFleet> now, long nowMillis) {
+        int there = now.values().stream().mapToInt(DomainFleet::total).sum();
+        Sighting last = sightings.get(pool);
+        if (last == null || last.count() != there) {
+            sightings.put(pool, new Sighting(there, nowMillis));
+            return false;
+        }
+        return nowMillis - last.sinceMillis() >= SETTLE_MILLIS;
     }
 
     private static int firstReaders(Collection<DomainFleet> fleets) {
@@ -137,6 +159,11 @@
                 () -> orders.remove(subject));
     }
 
+    /**
+     * How many engines there are, and since when.
+     */
+    private record Sighting(int count, long sinceMillis) {}
+
     /**
      * What orders are about.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -193,9 +193,7 @@
                 .with("backlog", readBacklog)
                 .with("running", reader.engine().totalRunning())
                 .info(LOGGER);
-        if (readBacklog == 0) {
-            reader.engine().measured(now() - askedMillis, readEstimate);
-        }
+        reader.engine().measured(now() - askedMillis, readEstimate);
         pendingFree = () -> free(reader, handle);
         if (exchange.isDone()) {
             freePending();
@@ -279,6 +277,9 @@
         }
         ranAt(run);
         if (!exchange.isBegun()) {
+            if (placement.reader().isEmpty()) {
+                run.target().engine().measured(now() - askedMillis, placement.firstMillis());
+            }
             run.target().health().succeeded();
             exchange.begin(200, run.headers());
             parts.metrics().firstEvent(exchange.route(), now() - exchange.request().arrivedMillis());
--- a/policy/src/main/java/org/ragwortpitch/placement/Engine.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/Engine.java
@@ -18,6 +18,11 @@
     /** The weight of a new measurement of the speed; about ten measurements make up most of the estimate. */
     private static final double SPEED_WEIGHT = 0.15;
 
+    /** Bounds of a single measurement, so that one that waited for a crash doesn't spoil the estimate. */
+    private static final double LEAST_RATIO = 0.4;
+
+    private static final double MOST_RATIO = 3;
+
     private static final double MIN_SLOWNESS = 0.5;
 
     private static final double MAX_SLOWNESS = 8;
@@ -89,11 +94,12 @@
     }
 
     /**
-     * Notes how long reading took against what was expected.
+     * Notes how long it took until a prompt was read or the first event came, against what was estimated with the
+     * present slowness. What daemons don't know of each other's queues shows in it too.
      */
-    public void measured(double actualMillis, double expectedMillis) {
-        double ratio = Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, actualMillis / expectedMillis));
-        slowness += SPEED_WEIGHT * (ratio - slowness);
+    public void measured(double actualMillis, double estimatedMillis) {
+        double ratio = Math.max(LEAST_RATIO, Math.min(MOST_RATIO, actualMillis / Math.max(1, estimatedMillis)));
+        slowness = Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, slowness * (1 + SPEED_WEIGHT * (ratio - 1))));
     }
 
     /**
--- a/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
+++ b/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
@@ -112,6 +112,21 @@
         assertEquals("d1", placement.decoder().endpoint().id().value());
     }
 
+    @Test
+    void testSlowReaderIsAvoidedOnceMeasured() {
+        List<Engine> engines = fleet(2);
+        String preferred = reader(prompt(5, 6), engines);
+        Engine slow = engines.stream()
+                .filter(engine -> engine.endpoint().id().value().equals(preferred))
+                .findFirst()
+                .orElseThrow();
+        for (int read = 0; read < 10; read++) {
+            slow.measured(3 * EngineEstimate.readMillis(slow, prompt(5, 6)), EngineEstimate.readMillis(slow, prompt(5, 6)));
+        }
+        assertNotEquals(preferred, reader(prompt(5, 6), engines));
+        assertTrue(slow.slowness() <= 8);
+    }
+
     @Test
     void testNothingMakesTokensWithoutDecoders() {
         List<Engine> readers = fleet(3).subList(2, 5);
