--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -12,6 +12,7 @@
 import java.util.SortedMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.contract.DirectoryForm;
@@ -40,6 +41,7 @@
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.ledger.Life;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.scaling.PoolDemand;
@@ -75,6 +77,12 @@
     /** The fewest addresses that a caller is told, so that losing one instance leaves others. */
     private static final int MIN_ADDRESSES = 2;
 
+    /**
+     * How long callers may use an answer of the directory, in seconds: some use it three times as long, and still have
+     * a new one before a daemon that is told to stop has gone.
+     */
+    private static final double TTL_SECONDS = 2;
+
     private static final int READY = 200;
 
     private static final int UNREADY = 503;
@@ -122,35 +130,48 @@
         ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_MILLIS, clockMillis);
         fleet = new Fleet(connections::forget);
         repeats = new RepeatBudgets(bounds, peers::count);
-        gateway = new Gateway(
-                new TrafficParts(
-                        trafficLoop, clockMillis, wallMillis, settings.domain(), connections, fleet, accounts, repeats,
-                        usage, demands, suspects, metrics),
-                new HttpCaller(trafficLoop, connections));
+        gateway = new Gateway(parts(connections), new HttpCaller(trafficLoop, connections));
         front = closer.add(new FrontServer(
                 trafficLoop, socketAddress(settings.frontAddress()), gateway::limits, gateway, clockMillis));
-        GossipSocket socket = closer.add(new GossipSocket(
-                trafficLoop,
-                new InetSocketAddress(settings.ip(), settings.peerPort()),
-                this::heard));
+        GossipSocket socket = closer.add(
+                new GossipSocket(trafficLoop, new InetSocketAddress(settings.ip(), settings.peerPort()), this::heard));
         self = new Daemon(
                 settings.instance(),
                 wallMillis.getAsLong(),
                 settings.domain(),
                 text(front.address()),
                 text(socket.address()));
-        gossiper = new Gossiper(self, socket, peers, fleet, accounts, demands, suspects, this::isReady, clockMillis);
-        ready = closer.add(new SmallServer(
-                trafficLoop, socketAddress(settings.readyAddress()), query -> readiness()));
-        directory = closer.add(
-                new SmallServer(trafficLoop, socketAddress(settings.directoryAddress()), this::directory));
-        closer.add(new SmallServer(
+        gossiper = new Gossiper(
+                self, socket, peers, fleet, accounts, demands, suspects, usage, this::isReady, clockMillis);
+        ready = small(settings.readyAddress(), query -> readiness());
+        directory = small(settings.directoryAddress(), this::directory);
+        small(
+                settings.ip() + ":" + metricsPort,
+                query -> new SmallAnswer(READY, "text/plain; charset=utf-8", metrics.scrape()));
+        control = control();
+    }
+
+    private TrafficParts parts(ConnectionPool connections) {
+        return new TrafficParts(
                 trafficLoop,
-                new InetSocketAddress(settings.ip(), metricsPort),
-                query -> new SmallAnswer(READY, "text/plain; charset=utf-8", metrics.scrape())));
-        control = new Control(
+                clockMillis,
+                wallMillis,
+                settings.domain(),
+                connections,
+                fleet,
+                accounts,
+                repeats,
+                usage,
+                demands,
+                suspects,
+                metrics);
+    }
+
+    private Control control() {
+        ConnectionPool connections = new ConnectionPool(controlLoop, CONNECT_MILLIS, clockMillis);
+        return new Control(
                 controlLoop,
-                new HttpCaller(controlLoop, new ConnectionPool(controlLoop, CONNECT_MILLIS, clockMillis)),
+                new HttpCaller(controlLoop, connections),
                 settings,
                 self,
                 new ToTraffic(),
@@ -159,6 +180,10 @@
                 wallMillis);
     }
 
+    private SmallServer small(String address, Function<QueryStringDecoder, SmallAnswer> answers) {
+        return closer.add(new SmallServer(trafficLoop, socketAddress(address), answers));
+    }
+
     private void heard(Gossip gossip) {
         gossiper.heard(gossip);
     }
@@ -279,7 +304,7 @@
         }
         List<String> addresses =
                 told.stream().limit(MAX_ADDRESSES).map(Daemon::frontAddress).toList();
-        return SmallAnswer.json(DirectoryForm.answer(addresses, bounds.maxTtlSeconds()));
+        return SmallAnswer.json(DirectoryForm.answer(addresses, Math.min(bounds.maxTtlSeconds(), TTL_SECONDS)));
     }
 
     private void handOver(SortedMap<Long, Map<AccountId, Long>> counts) {
@@ -290,7 +315,11 @@
 
     private void tellDemand() {
         Map<PoolId, PoolDemand> sample = demands.sample(fleet, clockMillis.getAsLong());
-        controlLoop.execute(() -> control.demanded(sample));
+        Map<Long, Map<Life, Map<AccountId, Long>>> told = gossiper.toldCounts();
+        controlLoop.execute(() -> {
+            control.demanded(sample);
+            control.told(told);
+        });
     }
 
     private static String text(InetSocketAddress address) {
--- a/edge/src/main/java/org/ragwortpitch/edge/Main.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Main.java
@@ -36,8 +36,8 @@
         }
         LongSupplier clockMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
         try {
-            Edge edge = new Edge(
-                    InstanceFile.read(Path.of(file)), METRICS_PORT, clockMillis, System::currentTimeMillis);
+            Edge edge =
+                    new Edge(InstanceFile.read(Path.of(file)), METRICS_PORT, clockMillis, System::currentTimeMillis);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(edge), "shutdown"));
             edge.start();
             SettingsWatch watch = new SettingsWatch(Path.of(file), edge::reload);
--- a/edge/src/main/java/org/ragwortpitch/edge/SettingsWatch.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/SettingsWatch.java
@@ -14,7 +14,8 @@
 import org.ragwortpitch.settings.InvalidSettingException;
 
 /**
- * Reads the settings file again when it changes, with or without a signal. A wrong file leaves the settings as they are.
+ * Reads the settings file again when it changes, with or without a signal. A wrong file leaves the settings as they
+ * are.
  */
 final class SettingsWatch {
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -10,6 +10,7 @@
 import java.util.SortedMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.ragwortpitch.contract.DaemonForm;
 import org.ragwortpitch.contract.DeploymentForm;
 import org.ragwortpitch.contract.FormException;
@@ -25,6 +26,7 @@
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.ledger.Life;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.scaling.PoolDemand;
 
@@ -54,6 +56,7 @@
     private final UsageDesk usage;
     private final DutyDesk duties;
     private Map<PoolId, PoolDemand> demands = Map.of();
+    private Map<Long, Map<Life, Map<AccountId, Long>>> told = Map.of();
     private Deployment deployment;
 
     /**
@@ -90,22 +93,33 @@
             return (token, refused) -> {};
         }
         PlatformCalls platform = new PlatformCalls(caller, settings.cloud().get());
-        UsageReporter reporter =
-                new UsageReporter(store, platform, self.id(), settings.bounds().usageWindowMillis(),
+        UsageReporter reporter = new UsageReporter(
+                store,
+                platform,
+                self.id(),
+                settings.bounds().usageWindowMillis(),
                 settings.bounds().usageLateMillis());
         FleetDesk fleet = new FleetDesk(platform, self.id(), clockMillis);
         RoleDesk roles = new RoleDesk(caller, self.id(), clockMillis);
         return (token, refused) -> {
-            reporter.step(token, wallMillis.getAsLong(), Set.copyOf(daemons.keySet()), refused);
+            reporter.told(told);
+            reporter.step(token, wallMillis.getAsLong(), lives(), refused);
             if (deployment != null) {
                 deployment.pools().forEach(pool -> stepEngines(token, pool, fleet, roles));
             }
         };
     }
 
+    private Set<Life> lives() {
+        return daemons.values().stream()
+                .map(daemon -> new Life(daemon.id(), daemon.bornMillis()))
+                .collect(Collectors.toSet());
+    }
+
     private void stepEngines(long token, Pool pool, FleetDesk fleet, RoleDesk roles) {
         Collection<Endpoint> listed = endpoints.endpoints();
-        if (pool.engine().isEmpty() || listed.stream().noneMatch(engine -> engine.pool().equals(pool.id()))) {
+        if (pool.engine().isEmpty()
+                || listed.stream().noneMatch(engine -> engine.pool().equals(pool.id()))) {
             return;
         }
         PoolDemand demand = demands.getOrDefault(pool.id(), new PoolDemand(0, 0));
@@ -125,8 +139,7 @@
         follow(StoreForm.OPERATORS_TOPIC, 0, WAIT_MILLIS, this::deployments);
         follow(StoreForm.ENDPOINTS_TOPIC, ENDPOINTS_PACE_MILLIS, 0, this::endpoints);
         follow(DaemonForm.TOPIC, 0, WAIT_MILLIS, this::daemons);
-        loop.scheduleWithFixedDelay(
-                this::dropMissing, RETRY_MILLIS, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::dropMissing, RETRY_MILLIS, RETRY_MILLIS, TimeUnit.MILLISECONDS);
         duties.start();
     }
 
@@ -137,6 +150,13 @@
         usage.counted(windows);
     }
 
+    /**
+     * Takes over what other daemons have told of their counts of usage.
+     */
+    public void told(Map<Long, Map<Life, Map<AccountId, Long>>> counts) {
+        told = counts;
+    }
+
     /**
      * Takes over what is asked of pools of engines.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyDesk.java
@@ -52,7 +52,10 @@
      * @param fenced      whether fencing tokens are checked
      */
     DutyDesk(
-            EventLoop loop, StoreClient store, String member, LongSupplier leaseMillis,
+            EventLoop loop,
+            StoreClient store,
+            String member,
+            LongSupplier leaseMillis,
             long waitMillis,
             boolean fenced,
             Duty duty) {
@@ -100,10 +103,7 @@
             }
             JoinAnswer joined = StoreForm.joinAnswer(answer.body());
             holding.answered(
-                    joined.partitions().contains(PARTITION),
-                    joined.generation(),
-                    sentMillis,
-                    leaseMillis.getAsLong());
+                    joined.partitions().contains(PARTITION), joined.generation(), sentMillis, leaseMillis.getAsLong());
         } catch (FormException exception) {
             Event.of("join-failed").with("reason", exception.getMessage()).warn(LOGGER);
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
@@ -140,8 +140,8 @@
             return;
         }
         orders.put(subject, new Order(wanted, now, lateMillis));
-        HttpCall call = DutyForm.scale(
-                self, fencingToken, subject.pool(), subject.domain(), wanted, subject.reclaimable());
+        HttpCall call =
+                DutyForm.scale(self, fencingToken, subject.pool(), subject.domain(), wanted, subject.reclaimable());
         platform.call(
                 call,
                 "order " + subject + " " + wanted + " of " + there,
--- a/edge/src/main/java/org/ragwortpitch/edge/control/RoleDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/RoleDesk.java
@@ -64,8 +64,7 @@
         long now = clockMillis.getAsLong();
         quietUntilMillis.values().removeIf(until -> until <= now);
         changingUntilMillis.values().removeIf(until -> until <= now);
-        firstSeenMillis.keySet().retainAll(
-                endpoints.stream().map(Endpoint::id).collect(Collectors.toSet()));
+        firstSeenMillis.keySet().retainAll(endpoints.stream().map(Endpoint::id).collect(Collectors.toSet()));
         List<Endpoint> engines = endpoints.stream()
                 .filter(engine -> engine.pool().equals(pool) && !engine.leaving())
                 .toList();
@@ -75,8 +74,9 @@
         long decoding = engines.stream()
                 .filter(engine -> engine.role() == EndpointRole.DECODE && !quietUntilMillis.containsKey(engine.id()))
                 .count();
-        for (Map.Entry<Endpoint, EndpointRole> change :
-                RolePlan.changes(engines, wanted, engine -> isFresh(engine, now)).entrySet()) {
+        for (Map.Entry<Endpoint, EndpointRole> change : RolePlan.changes(
+                        engines, wanted, engine -> isFresh(engine, now))
+                .entrySet()) {
             Endpoint engine = change.getKey();
             boolean keepsDecoding = change.getValue() == EndpointRole.PREFILL && decoding <= wanted;
             if (!quietUntilMillis.containsKey(engine.id()) && !keepsDecoding) {
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -14,8 +14,8 @@
 import org.ragwortpitch.logging.Event;
 
 /**
- * Follows a keyed topic: loads the newest record of each key, then reads on; loads again when the store has deleted what
- * comes next. Confined to the control thread.
+ * Follows a keyed topic: loads the newest record of each key, then reads on; loads again when the store has deleted
+ * what comes next. Confined to the control thread.
  */
 final class TopicFollower {
 
@@ -91,7 +91,10 @@
 
     private void read() {
         store.call(
-                StoreForm.read(topic, offset, waitMillis), waitMillis, this::readOn, reason -> later(PAUSE_MILLIS, this::read));
+                StoreForm.read(topic, offset, waitMillis),
+                waitMillis,
+                this::readOn,
+                reason -> later(PAUSE_MILLIS, this::read));
     }
 
     private void readOn(CallAnswer answer) {
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageDesk.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.ragwortpitch.contract.StoreForm;
 import org.ragwortpitch.contract.UsageForm;
-import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.ledger.LedgerEntry;
 import org.ragwortpitch.logging.Event;
 
@@ -50,7 +50,8 @@
      * Takes counts of windows over.
      */
     void counted(SortedMap<Long, Map<AccountId, Long>> windows) {
-        windows.forEach((window, counts) -> waiting.add(new LedgerEntry(window, self.id(), self.bornMillis(), part++, false, counts)));
+        windows.forEach((window, counts) ->
+                waiting.add(new LedgerEntry(window, self.id(), self.bornMillis(), part++, false, counts)));
         while (waiting.size() > MAX_WAITING) {
             LedgerEntry lost = waiting.poll();
             Event.of("usage-dropped")
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.ragwortpitch.contract.DutyForm;
 import org.ragwortpitch.contract.FormException;
@@ -15,6 +16,7 @@
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.ledger.LedgerEntry;
+import org.ragwortpitch.ledger.Life;
 import org.ragwortpitch.ledger.UsageJournal;
 import org.ragwortpitch.logging.Event;
 
@@ -46,7 +48,8 @@
     private final long lateMillis;
     private final UsageJournal journal = new UsageJournal();
     private final TreeSet<Long> reported = new TreeSet<>();
-    private Set<InstanceId> expected = Set.of();
+    private Map<Long, Map<Life, Map<AccountId, Long>>> told = Map.of();
+    private Set<Life> expected = Set.of();
     private long nowMillis;
     private long offset;
     private boolean busy;
@@ -65,7 +68,7 @@
      * @param daemons those whose counts are waited for
      * @param refused hears that another holder has acted since
      */
-    void step(long fencingToken, long wallMillis, Set<InstanceId> daemons, Runnable refused) {
+    void step(long fencingToken, long wallMillis, Set<Life> daemons, Runnable refused) {
         expected = daemons;
         nowMillis = wallMillis;
         long last = Math.floorDiv(wallMillis - SETTLE_MILLIS, windowMillis) - 1;
@@ -74,7 +77,8 @@
             return;
         }
         busy = true;
-        readJournal(() -> nextDue(last).ifPresentOrElse(window -> act(window, fencingToken, refused), () -> busy = false));
+        readJournal(
+                () -> nextDue(last).ifPresentOrElse(window -> act(window, fencingToken, refused), () -> busy = false));
     }
 
     private Optional<Long> nextDue(long last) {
@@ -92,7 +96,7 @@
             report(window, frozen.get(), fencingToken, refused);
         } else if (!journal.writers(window).containsAll(expected) && !isPressing(window)) {
             busy = false;
-        } else if (journal.counted(window).isEmpty()) {
+        } else if (figures(window).isEmpty()) {
             reported.add(window);
             busy = false;
         } else {
@@ -105,8 +109,34 @@
         return nowMillis > endMillis + lateMillis - REPORT_MILLIS;
     }
 
+    /**
+     * Adds to what the journal holds the counts of lives that could not write theirs, as they told their peers.
+     */
+    private Map<AccountId, Long> figures(long window) {
+        Map<AccountId, Long> figures = new TreeMap<>(journal.counted(window));
+        told.getOrDefault(window, Map.of()).forEach((life, counts) -> {
+            if (!journal.writers(window).contains(life)) {
+                Event.of("usage-from-peers")
+                        .with("window", window)
+                        .with("daemon", life.daemon())
+                        .with("born", life.bornMillis())
+                        .with("counts", counts)
+                        .info(LOGGER);
+                counts.forEach((account, count) -> figures.merge(account, count, Long::sum));
+            }
+        });
+        return figures;
+    }
+
+    /**
+     * Takes over what other daemons have told of their counts.
+     */
+    void told(Map<Long, Map<Life, Map<AccountId, Long>>> counts) {
+        told = counts;
+    }
+
     private void freeze(long window) {
-        LedgerEntry entry = new LedgerEntry(window, self, 0, 0, true, journal.counted(window));
+        LedgerEntry entry = new LedgerEntry(window, self, 0, 0, true, figures(window));
         store.call(
                 StoreForm.append(UsageForm.TOPIC, List.of(UsageForm.encode(entry))),
                 0,
@@ -165,7 +195,9 @@
             offset = page.nextOffset();
             return offset >= page.endOffset();
         } catch (FormException exception) {
-            Event.of("journal-unreadable").with("reason", exception.getMessage()).warn(LOGGER);
+            Event.of("journal-unreadable")
+                    .with("reason", exception.getMessage())
+                    .warn(LOGGER);
             return false;
         }
     }
@@ -174,7 +206,9 @@
         try {
             journal.apply(UsageForm.decode(record));
         } catch (FormException exception) {
-            Event.of("usage-entry-unreadable").with("reason", exception.getMessage()).warn(LOGGER);
+            Event.of("usage-entry-unreadable")
+                    .with("reason", exception.getMessage())
+                    .warn(LOGGER);
         }
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -19,9 +19,7 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private static final double[] BOUNDS_SECONDS = {
-        0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2, 3, 4, 6, 8
-    };
+    private static final double[] BOUNDS_SECONDS = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2, 3, 4, 6, 8};
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Histogram answers = histogram("ragwortpitch_answer_seconds", "Time of a whole answer");
--- a/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
@@ -133,8 +133,8 @@
         if (HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "send a shorter body");
         } else if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
@@ -143,7 +143,8 @@
             refuse(HttpResponseStatus.BAD_REQUEST, "the body can't be read");
             return;
         }
-        if (body.readableBytes() + content.content().readableBytes() > limits.get().maxBodyBytes()) {
+        if (body.readableBytes() + content.content().readableBytes()
+                > limits.get().maxBodyBytes()) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "send a shorter body");
             return;
         }
@@ -172,8 +173,11 @@
         closing = true;
         head = null;
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(remedy + "\n", java.nio.charset.StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+                HttpVersion.HTTP_1_1,
+                status,
+                Unpooled.copiedBuffer(remedy + "\n", java.nio.charset.StandardCharsets.UTF_8));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -73,8 +73,7 @@
      * @param maxIdleMillis how long a connection may have been idle to be used, in milliseconds
      * @return gives the request up and closes its connection
      */
-    public Cancellation send(
-            String address, OutboundRequest request, long maxIdleMillis, ResponseListener listener) {
+    public Cancellation send(String address, OutboundRequest request, long maxIdleMillis, ResponseListener listener) {
         OutboundConnection connection = takeIdle(address, maxIdleMillis);
         return connection != null ? connection.send(request, listener) : connectAndSend(address, request, listener);
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
--- a/edge/src/main/java/org/ragwortpitch/edge/log/QueuedLog.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/log/QueuedLog.java
@@ -79,7 +79,8 @@
                 }
                 long lost = dropped.getAndSet(0);
                 if (lost > 0) {
-                    lines.append(Event.of("log-lines-dropped").with("count", lost)).append('\n');
+                    lines.append(Event.of("log-lines-dropped").with("count", lost))
+                            .append('\n');
                 }
                 byte[] bytes = lines.toString().getBytes(StandardCharsets.UTF_8);
                 out.write(bytes, 0, bytes.length);
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -62,9 +62,10 @@
      * Counts the daemons that are heard of, with this one.
      */
     public int heardCount(long nowMillis) {
-        return 1 + (int) listed.keySet().stream()
-                .filter(id -> isHeard(id, nowMillis))
-                .count();
+        return 1
+                + (int) listed.keySet().stream()
+                        .filter(id -> isHeard(id, nowMillis))
+                        .count();
     }
 
     /**
@@ -80,7 +81,8 @@
      */
     public List<Daemon> ready(FailureDomain domain, long nowMillis) {
         return listed.values().stream()
-                .filter(daemon -> isHeard(daemon.id(), nowMillis) && heard.get(daemon.id()).ready())
+                .filter(daemon -> isHeard(daemon.id(), nowMillis)
+                        && heard.get(daemon.id()).ready())
                 .sorted((one, other) -> Boolean.compare(
                         other.domain().equals(domain), one.domain().equals(domain)))
                 .toList();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Accounts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Accounts.java
@@ -34,7 +34,9 @@
      * Takes rates over from a new version.
      */
     public void apply(Deployment deployment, long nowMillis) {
-        buckets.keySet().removeIf(id -> deployment.account(id).filter(AccountSpec::isLimited).isEmpty());
+        buckets.keySet()
+                .removeIf(id ->
+                        deployment.account(id).filter(AccountSpec::isLimited).isEmpty());
         for (AccountSpec account : deployment.accounts()) {
             if (!account.isLimited()) {
                 continue;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.lang.System.Logger;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -12,16 +11,14 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.ragwortpitch.configuration.EndpointRole;
-import org.ragwortpitch.contract.EngineForm;
 import org.ragwortpitch.contract.Headers;
-import org.ragwortpitch.deployment.AccountSpec;
 import org.ragwortpitch.deployment.Generation;
+import org.ragwortpitch.edge.http.Breakage;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.HttpCaller;
 import org.ragwortpitch.edge.http.OutboundRequest;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
-import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.placement.Engine;
 import org.ragwortpitch.placement.EngineChooser;
 import org.ragwortpitch.placement.EngineEstimate;
@@ -33,8 +30,6 @@
  */
 final class EngineRun implements Cancellation, StreamListener {
 
-    private static final Logger LOGGER = System.getLogger(EngineRun.class.getName());
-
     private static final int BAD_GATEWAY = 502;
 
     private static final int UNAVAILABLE = 503;
@@ -58,37 +53,26 @@
     /** An engine is given up for another after this part of the callers' patience without an event. */
     private static final double SILENCE_SHARE = 0.6;
 
-    /** How long freeing unused memory may take, in milliseconds; it lapses by itself a little later. */
-    private static final long FREE_MILLIS = 1_000;
-
     /** The sends of a repeat: the prompt is read anew, then the tokens are made. */
     private static final int READ_AND_DECODE = 2;
 
     /** How long an engine that refused a request gets no more, in milliseconds: a part of a change of its role. */
     private static final long REFUSED_MILLIS = 600;
 
-    private static final int LEAST_URGENT = 9;
-
     private final TrafficParts parts;
     private final EngineChooser chooser;
-    private final HttpCaller caller;
     private final Exchange exchange;
     private final PoolId pool;
     private final Generation generation;
+    private final RunLog log;
+    private final HandedMemory memory;
+    private final SilenceWatch silence;
     private final Set<EndpointId> tried = new HashSet<>();
     private Cancellation current = Cancellation.NONE;
-    private ScheduledFuture<?> silence;
     private int sends;
     private int ranAt;
     private long lastEvent;
     private Placement placement;
-    private String memory = "";
-    private Runnable pendingFree = () -> {};
-    private long readTokens;
-    private long readBacklog;
-    private double readEstimate;
-    private EndpointState asked;
-    private long askedMillis;
 
     EngineRun(
             TrafficParts parts,
@@ -99,11 +83,13 @@
             Generation generation) {
         this.parts = parts;
         this.chooser = chooser;
-        this.caller = caller;
         this.exchange = exchange;
         this.pool = pool;
         this.generation = generation;
         this.lastEvent = firstEvent(exchange);
+        this.log = new RunLog(exchange.attemptId());
+        this.memory = new HandedMemory(caller, exchange.attemptId());
+        this.silence = new SilenceWatch(parts, (long) (SILENCE_SHARE * patienceMillis()), this::silent);
     }
 
     private static long firstEvent(Exchange exchange) {
@@ -117,9 +103,9 @@
                 .schedule(this::timedOut, Math.max(1, exchange.remainingMillis(now)), TimeUnit.MILLISECONDS);
         exchange.whenDone(() -> {
             deadline.cancel(false);
-            stopSilence();
+            silence.stop();
             current.cancel();
-            freePending();
+            memory.free();
         });
         place(now);
     }
@@ -157,11 +143,11 @@
                     UNAVAILABLE, comeBackMillis, "its turn would come in " + (long) placement.waitMillis() + " ms");
             return;
         }
-        logPlacement();
+        log.placed(placement, generation);
         if (placement.reader().isPresent()) {
             read(placement.reader().get(), now);
         } else {
-            decode("", now);
+            decode(now);
         }
     }
 
@@ -169,40 +155,35 @@
         EndpointState state = parts.fleet().find(reader.endpoint().id());
         state.health().sent(now);
         int uncached = EngineEstimate.uncachedTokens(reader, generation);
-        readTokens = uncached;
-        readBacklog = reader.totalReadingTokens();
-        readEstimate = EngineEstimate.readMillis(reader, generation);
+        double estimate = EngineEstimate.readMillis(reader, generation);
         PromptRead read = new PromptRead(
-                state, generation.promptTokens(), uncached, handle -> handedOver(state, handle), reason -> {
+                state,
+                generation.promptTokens(),
+                uncached,
+                handle -> {
+                    log.read(state, silence.sinceAskedMillis(), uncached, estimate);
+                    reader.measured(silence.sinceAskedMillis(), estimate);
+                    handedOver(state, handle);
+                },
+                reason -> {
                     state.health().refused(REFUSED_MILLIS, now());
                     readFailed(reason);
                 });
         current = read;
         state.sentParts(generation.parts());
-        ask(state, now);
-        read.start(parts, urgent(exchange.outbound(state, now)));
+        silence.asked(state, now);
+        read.start(parts, exchange.urgent(state, now));
     }
 
     private void handedOver(EndpointState reader, String handle) {
-        Event.of("prompt-read")
-                .with("request", exchange.attemptId())
-                .with("reader", reader.endpoint().id())
-                .with("millis", now() - askedMillis)
-                .with("uncached", readTokens)
-                .with("estimate-millis", (long) readEstimate)
-                .with("backlog", readBacklog)
-                .with("running", reader.engine().totalRunning())
-                .info(LOGGER);
-        reader.engine().measured(now() - askedMillis, readEstimate);
-        pendingFree = () -> free(reader, handle);
+        memory.read(reader, handle);
         if (exchange.isDone()) {
-            freePending();
+            memory.free();
             return;
         }
         reader.health().succeeded();
         reader.heard(now());
-        memory = EngineForm.memoryFrom(reader.endpoint().address(), handle);
-        decode(memory, now());
+        decode(now());
     }
 
     private void readFailed(String reason) {
@@ -214,28 +195,7 @@
         again(reason, true);
     }
 
-    /**
-     * Frees memory that no engine has taken over.
-     */
-    private void freePending() {
-        Runnable free = pendingFree;
-        pendingFree = () -> {};
-        free.run();
-    }
-
-    private void free(EndpointState reader, String handle) {
-        caller.call(
-                reader.endpoint().address(),
-                EngineForm.free(handle),
-                FREE_MILLIS,
-                answer -> {},
-                breakage -> Event.of("free-failed")
-                        .with("request", exchange.attemptId())
-                        .with("reason", breakage.reason())
-                        .info(LOGGER));
-    }
-
-    private void decode(String memoryFrom, long now) {
+    private void decode(long now) {
         Engine decoder = placement.decoder();
         EndpointState state = parts.fleet().find(decoder.endpoint().id());
         if (state == null || state.endpoint().leaving()) {
@@ -243,12 +203,12 @@
             place(now);
             return;
         }
-        int uncached = memoryFrom.isEmpty() ? EngineEstimate.uncachedTokens(decoder, generation) : 1;
+        int uncached = memory.isThere() ? 1 : EngineEstimate.uncachedTokens(decoder, generation);
         state.health().sent(now);
         sends++;
-        OutboundRequest request = urgent(exchange.outbound(state, now));
-        if (!memoryFrom.isEmpty()) {
-            request.headers().set(Headers.MEMORY_FROM, memoryFrom);
+        OutboundRequest request = exchange.urgent(state, now);
+        if (memory.isThere()) {
+            request.headers().set(Headers.MEMORY_FROM, memory.from());
         }
         if (lastEvent != StreamEvent.NO_ID) {
             request.headers().set(Headers.LAST_EVENT, lastEvent);
@@ -256,20 +216,10 @@
         StreamRun run = new StreamRun(state, generation.countedTokens(), uncached, this);
         current = run;
         state.sentParts(generation.parts());
-        ask(state, now);
+        silence.asked(state, now);
         run.start(parts, request);
     }
 
-    private OutboundRequest urgent(OutboundRequest request) {
-        int urgency = exchange.account()
-                .map(AccountSpec::urgency)
-                .filter(java.util.OptionalInt::isPresent)
-                .map(java.util.OptionalInt::getAsInt)
-                .orElse(exchange.route().urgency());
-        request.headers().set(Headers.URGENCY, Math.max(0, Math.min(LEAST_URGENT, urgency)));
-        return request;
-    }
-
     @Override
     public void onEvents(StreamRun run, List<StreamEvent> events) {
         if (exchange.isDone()) {
@@ -278,15 +228,16 @@
         ranAt(run);
         if (!exchange.isBegun()) {
             if (placement.reader().isEmpty()) {
-                run.target().engine().measured(now() - askedMillis, placement.firstMillis());
+                run.target().engine().measured(silence.sinceAskedMillis(), placement.firstMillis());
             }
             run.target().health().succeeded();
             exchange.begin(200, run.headers());
-            parts.metrics().firstEvent(exchange.route(), now() - exchange.request().arrivedMillis());
+            parts.metrics()
+                    .firstEvent(exchange.route(), now() - exchange.request().arrivedMillis());
         }
-        pendingFree = () -> {};
+        memory.taken();
         run.target().heard(now());
-        watchSilence();
+        silence.restart();
         for (StreamEvent event : events) {
             if (event.id() == StreamEvent.NO_ID || event.id() > lastEvent) {
                 lastEvent = Math.max(lastEvent, event.id());
@@ -350,7 +301,7 @@
         }
         if (sent && (!mayRunElsewhere() || exchange.isSuspect())) {
             exchange.fail(BAD_GATEWAY, "broken: " + reason);
-        } else {
+        } else if (sent || !decodeElsewhere("not sent: " + reason)) {
             again("broken: " + reason, sent);
         }
     }
@@ -365,16 +316,15 @@
         Optional<EndpointState> other = parts.fleet().usable(pool, tried, now).stream()
                 .filter(state -> state.endpoint().role() == EndpointRole.DECODE)
                 .min(Comparator.comparingInt(state -> state.engine().totalRunning()));
-        if (memory.isEmpty() || other.isEmpty() || sends >= MAX_SENDS || !parts.repeats().tryRepeat(pool, 1, now)) {
+        if (!memory.isThere()
+                || other.isEmpty()
+                || sends >= MAX_SENDS
+                || !parts.repeats().tryRepeat(pool, 1, now)) {
             return false;
         }
-        Event.of("hand-over-elsewhere")
-                .with("request", exchange.attemptId())
-                .with("reason", reason)
-                .with("decoder", other.get().endpoint().id())
-                .info(LOGGER);
+        log.elsewhere(reason, other.get());
         placement = new Placement(other.get().engine(), placement.reader(), placement.firstMillis(), 0);
-        decode(memory, now);
+        decode(now);
         return true;
     }
 
@@ -390,18 +340,12 @@
     }
 
     private void again(String reason, boolean arrived) {
-        freePending();
-        memory = "";
+        memory.free();
         long now = now();
         boolean allowed = sends < MAX_SENDS
                 && exchange.remainingMillis(now) > 0
                 && (!arrived || parts.repeats().tryRepeat(pool, READ_AND_DECODE, now));
-        Event.of("send-again")
-                .with("request", exchange.attemptId())
-                .with("reason", reason)
-                .with("after", lastEvent)
-                .with("allowed", allowed)
-                .info(LOGGER);
+        log.again(reason, lastEvent, allowed);
         if (allowed) {
             place(now);
         } else {
@@ -422,62 +366,30 @@
     }
 
     private long patienceMillis() {
-        return Math.max(LEAST_PATIENCE_MILLIS, (long) PATIENCE_TARGETS * exchange.route().targetMillis());
+        return Math.max(
+                LEAST_PATIENCE_MILLIS,
+                (long) PATIENCE_TARGETS * exchange.route().targetMillis());
     }
 
     /**
-     * Gives the present engine up if nothing comes of it, where another one may go on.
+     * Gives the present engine up where another one may go on.
      */
-    private void watchSilence() {
-        stopSilence();
-        long millis = (long) (SILENCE_SHARE * patienceMillis());
-        silence = parts.loop().schedule(() -> silent(millis), millis, TimeUnit.MILLISECONDS);
-    }
-
-    private void ask(EndpointState state, long now) {
-        asked = state;
-        askedMillis = now;
-        watchSilence();
-    }
-
-    private void stopSilence() {
-        if (silence != null) {
-            silence.cancel(false);
+    private void silent() {
+        if (exchange.isDone()) {
+            return;
         }
-    }
-
-    private void silent(long millis) {
-        // An engine that answers others is busy, not gone; starting anew elsewhere would only add to the work.
-        if (askedMillis + millis > now() || asked.heardMillis() + millis > now()) {
-            watchSilence();
-        } else if (current instanceof StreamRun run && !exchange.isDone()) {
-            boolean elsewhere = exchange.route().resumable()
-                    && ranAt + 1 < exchange.route().maxEndpoints();
+        if (current instanceof StreamRun run) {
             run.target().health().failed(true, now());
-            if (elsewhere) {
+            if (exchange.route().resumable() && ranAt + 1 < exchange.route().maxEndpoints()) {
                 run.cancel();
                 onBroken(run, true, "silent");
             }
-        } else if (current instanceof PromptRead read && !exchange.isDone()) {
+        } else if (current instanceof PromptRead read) {
             read.cancel();
-            read.onBroken(org.ragwortpitch.edge.http.Breakage.sent("silent"));
+            read.onBroken(Breakage.sent("silent"));
         }
     }
 
-    private void logPlacement() {
-        Engine decoder = placement.decoder();
-        Event.of("placed")
-                .with("request", exchange.attemptId())
-                .with("decoder", decoder.endpoint().id())
-                .with("reader", placement.reader().map(reader -> reader.endpoint().id().value()).orElse("-"))
-                .with("estimate-millis", (long) placement.firstMillis())
-                .with("prompt", generation.promptTokens())
-                .with("cached", decoder.cache().keptTokens(generation.parts()))
-                .with("running", decoder.totalRunning())
-                .with("reading", decoder.totalReadingTokens())
-                .info(LOGGER);
-    }
-
     private long now() {
         return parts.clockMillis().getAsLong();
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.ragwortpitch.contract.Headers;
 import org.ragwortpitch.deployment.AccountSpec;
 import org.ragwortpitch.deployment.Route;
@@ -19,7 +20,8 @@
 import org.ragwortpitch.suspect.Fingerprint;
 
 /**
- * A request that was let in: what it is, how long it has, and its answer, which ends it. Confined to the traffic thread.
+ * A request that was let in: what it is, how long it has, and its answer, which ends it. Confined to the traffic
+ * thread.
  */
 final class Exchange {
 
@@ -28,6 +30,9 @@
     /** An answer that starts this much before the caller's deadline still reaches it, in milliseconds. */
     private static final long ANSWER_MARGIN_MILLIS = 15;
 
+    /** The last rank that engines know. */
+    private static final int LEAST_URGENT = 9;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final TrafficParts parts;
@@ -67,8 +72,8 @@
         this.account = account;
         this.tokens = tokens;
         this.endsAtRoute = callerMillis - ANSWER_MARGIN_MILLIS > route.timeoutMillis();
-        this.deadlineMillis = request.arrivedMillis()
-                + Math.min(callerMillis - ANSWER_MARGIN_MILLIS, route.timeoutMillis());
+        this.deadlineMillis =
+                request.arrivedMillis() + Math.min(callerMillis - ANSWER_MARGIN_MILLIS, route.timeoutMillis());
     }
 
     Route route() {
@@ -123,13 +128,25 @@
         return new OutboundRequest(request.method(), request.target(), headers, request.body(), attemptId);
     }
 
+    /**
+     * Makes the request for an engine, with how urgent it is there: the account goes before the route.
+     */
+    OutboundRequest urgent(EndpointState target, long nowMillis) {
+        OutboundRequest request = outbound(target, nowMillis);
+        int urgency =
+                account.map(AccountSpec::urgency).orElse(OptionalInt.empty()).orElse(route.urgency());
+        request.headers().set(Headers.URGENCY, Math.max(0, Math.min(LEAST_URGENT, urgency)));
+        return request;
+    }
+
     /**
      * Counts the request as begun to run, once.
      */
     void ran() {
         if (!counted) {
             counted = true;
-            account.ifPresent(known -> parts.usage().began(known.id(), parts.wallMillis().getAsLong()));
+            account.ifPresent(
+                    known -> parts.usage().began(known.id(), parts.wallMillis().getAsLong()));
         }
     }
 
@@ -139,7 +156,8 @@
     void crashed() {
         // Requests without a body are alike too often to be told apart.
         if (request.body().isReadable()) {
-            parts.suspects().crashed(fingerprint(), attemptId, parts.clockMillis().getAsLong());
+            parts.suspects()
+                    .crashed(fingerprint(), attemptId, parts.clockMillis().getAsLong());
         }
     }
 
@@ -147,7 +165,8 @@
      * Tells whether the request has crashed too many endpoints to be run again.
      */
     boolean isSuspect() {
-        return request.body().isReadable() && parts.suspects().isRefused(fingerprint(), parts.clockMillis().getAsLong());
+        return request.body().isReadable()
+                && parts.suspects().isRefused(fingerprint(), parts.clockMillis().getAsLong());
     }
 
     private Fingerprint fingerprint() {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.ragwortpitch.deployment.Daemon;
@@ -13,6 +14,9 @@
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.ledger.Life;
+import org.ragwortpitch.ledger.PeerCounts;
+import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.placement.PeerLoad;
 import org.ragwortpitch.suspect.Fingerprint;
 import org.ragwortpitch.wire.generated.GossipProtocol.AccountSpend;
@@ -20,6 +24,7 @@
 import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 import org.ragwortpitch.wire.generated.GossipProtocol.PoolReading;
+import org.ragwortpitch.wire.generated.GossipProtocol.WindowCount;
 
 /**
  * Tells the other daemons what this one has spent and has under way, and takes over what they tell. Confined to the
@@ -37,6 +42,8 @@
     private final Accounts accounts;
     private final Demands demands;
     private final Suspects suspects;
+    private final WindowCounts usage;
+    private final PeerCounts counts = new PeerCounts();
     private final BooleanSupplier ready;
     private final LongSupplier clockMillis;
     private Collection<EndpointId> changing = List.of();
@@ -55,6 +62,7 @@
             Accounts accounts,
             Demands demands,
             Suspects suspects,
+            WindowCounts usage,
             BooleanSupplier ready,
             LongSupplier clockMillis) {
         this.self = self;
@@ -64,6 +72,7 @@
         this.accounts = accounts;
         this.demands = demands;
         this.suspects = suspects;
+        this.usage = usage;
         this.ready = ready;
         this.clockMillis = clockMillis;
     }
@@ -94,21 +103,29 @@
             return;
         }
         for (AccountSpend spend : gossip.getSpendsList()) {
-            accounts.peerSpent(
-                    peer, gossip.getBornMillis(), new AccountId(spend.getAccount()), spend.getTokens(), now);
+            accounts.peerSpent(peer, gossip.getBornMillis(), new AccountId(spend.getAccount()), spend.getTokens(), now);
+        }
+        Life life = new Life(peer, gossip.getBornMillis());
+        for (WindowCount count : gossip.getCountsList()) {
+            counts.told(life, count.getWindow(), new AccountId(count.getAccount()), count.getCount());
         }
         for (PoolReading reading : gossip.getReadingsList()) {
             demands.peer(peer, gossip.getBornMillis(), new PoolId(reading.getPool()), reading.getTokens());
         }
         gossip.getCrashesList()
-                .forEach(crash ->
-                        suspects.learn(new Fingerprint(crash.getFingerprint()), crash.getCrashes(), now));
-        fleet.avoid(
-                gossip.getChangingList().stream().map(EndpointId::new).toList(), now + CHANGING_MILLIS);
+                .forEach(crash -> suspects.learn(new Fingerprint(crash.getFingerprint()), crash.getCrashes(), now));
+        fleet.avoid(gossip.getChangingList().stream().map(EndpointId::new).toList(), now + CHANGING_MILLIS);
         forget(peer);
         gossip.getLoadsList().forEach(load -> apply(peer, load));
     }
 
+    /**
+     * Tells what other daemons have told of their counts.
+     */
+    public Map<Long, Map<Life, Map<AccountId, Long>>> toldCounts() {
+        return counts.copy();
+    }
+
     /**
      * Sets the endpoints that change their role now.
      */
@@ -131,9 +148,8 @@
     }
 
     private void forget(InstanceId peer) {
-        fleet.all().stream()
-                .filter(state -> state.engine() != null)
-                .forEach(state -> state.engine().peer(peer, new PeerLoad(0, 0, 0)));
+        fleet.all().stream().filter(state -> state.engine() != null).forEach(state -> state.engine()
+                .peer(peer, new PeerLoad(0, 0, 0)));
     }
 
     private Gossip message() {
@@ -144,6 +160,12 @@
                 .setReady(ready.getAsBoolean());
         accounts.eachSpent((account, tokens) -> gossip.addSpends(
                 AccountSpend.newBuilder().setAccount(account.value()).setTokens(tokens)));
+        usage.recent()
+                .forEach(
+                        (window, counts) -> counts.forEach((account, count) -> gossip.addCounts(WindowCount.newBuilder()
+                                .setWindow(window)
+                                .setAccount(account.value())
+                                .setCount(count))));
         suspects.takeFresh((request, crashes) -> gossip.addCrashes(
                 CrashedRequest.newBuilder().setFingerprint(request.value()).setCrashes(crashes)));
         changing.forEach(endpoint -> gossip.addChanging(endpoint.value()));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/PromptRead.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/PromptRead.java
@@ -36,8 +36,7 @@
      * @param read   hears of the handle under which the memory lies
      * @param failed hears of why there is none
      */
-    PromptRead(
-            EndpointState reader, long tokens, long uncachedTokens, Consumer<String> read, Consumer<String> failed) {
+    PromptRead(EndpointState reader, long tokens, long uncachedTokens, Consumer<String> read, Consumer<String> failed) {
         this.reader = reader;
         this.tokens = tokens;
         this.uncachedTokens = uncachedTokens;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RepeatBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RepeatBudgets.java
@@ -54,7 +54,6 @@
 
     private RepeatBudget budget(PoolId pool) {
         return budgets.computeIfAbsent(
-                pool,
-                id -> new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack(), bounds.repeatSpanMillis()));
+                pool, id -> new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack(), bounds.repeatSpanMillis()));
     }
 }
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RunLog.java
@@ -0,0 +1,65 @@
+package org.ragwortpitch.edge.traffic;
+
+import java.lang.System.Logger;
+import org.ragwortpitch.deployment.Generation;
+import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.placement.Engine;
+import org.ragwortpitch.placement.Placement;
+
+/**
+ * Log lines on where a generation goes and why.
+ */
+final class RunLog {
+
+    private static final Logger LOGGER = System.getLogger(RunLog.class.getName());
+
+    private final String attemptId;
+
+    RunLog(String attemptId) {
+        this.attemptId = attemptId;
+    }
+
+    void placed(Placement placement, Generation generation) {
+        Engine decoder = placement.decoder();
+        String reader =
+                placement.reader().map(engine -> engine.endpoint().id().value()).orElse("-");
+        event("placed")
+                .with("decoder", decoder.endpoint().id())
+                .with("reader", reader)
+                .with("estimate-millis", (long) placement.firstMillis())
+                .with("prompt", generation.promptTokens())
+                .with("cached", decoder.cache().keptTokens(generation.parts()))
+                .with("running", decoder.totalRunning())
+                .with("reading", decoder.totalReadingTokens())
+                .info(LOGGER);
+    }
+
+    void read(EndpointState reader, long millis, long uncachedTokens, double estimateMillis) {
+        event("prompt-read")
+                .with("reader", reader.endpoint().id())
+                .with("millis", millis)
+                .with("uncached", uncachedTokens)
+                .with("estimate-millis", (long) estimateMillis)
+                .with("running", reader.engine().totalRunning())
+                .info(LOGGER);
+    }
+
+    void again(String reason, long afterEvent, boolean allowed) {
+        event("send-again")
+                .with("reason", reason)
+                .with("after", afterEvent)
+                .with("allowed", allowed)
+                .info(LOGGER);
+    }
+
+    void elsewhere(String reason, EndpointState decoder) {
+        event("hand-over-elsewhere")
+                .with("reason", reason)
+                .with("decoder", decoder.endpoint().id())
+                .info(LOGGER);
+    }
+
+    private Event event(String name) {
+        return Event.of(name).with("request", attemptId);
+    }
+}
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -111,7 +111,8 @@
                         repeatable ? Long.MAX_VALUE : FRESH_MILLIS,
                         attempt);
         if (repeatable && ranAt + 1 < exchange.route().maxEndpoints()) {
-            long silenceMillis = (long) SILENCE_TARGETS * Math.max(1, exchange.route().targetMillis());
+            long silenceMillis =
+                    (long) SILENCE_TARGETS * Math.max(1, exchange.route().targetMillis());
             attempt.timer = parts.loop().schedule(attempt::silent, silenceMillis, TimeUnit.MILLISECONDS);
         }
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
@@ -10,7 +10,6 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
@@ -18,12 +17,10 @@
 import org.junit.jupiter.api.Test;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.contract.Headers;
-import org.ragwortpitch.contract.InstanceSettings;
 import org.ragwortpitch.edge.standin.Loops;
+import org.ragwortpitch.edge.standin.Settings;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
-import org.ragwortpitch.identity.FailureDomain;
-import org.ragwortpitch.identity.InstanceId;
 
 /**
  * Tests a daemon before stand-ins, over sockets.
@@ -54,15 +51,8 @@
     private final StandinStore store = closer.add(new StandinStore());
     private final StandinEndpoint first = closer.add(new StandinEndpoint("i-1"));
     private final StandinEndpoint second = closer.add(new StandinEndpoint("i-2"));
-    private final Edge edge = closer.add(new Edge(settings(), 0, Loops.CLOCK_MILLIS, System::currentTimeMillis));
-
-    private InstanceSettings settings() {
-        InstanceSettings.Bounds bounds =
-                new InstanceSettings.Bounds(3_000, 2_000, 8_000, 0.2, 50, 10_000, true, 300, 1_000, 4_000, 5);
-        return new InstanceSettings(
-                new InstanceId("front-1"), new FailureDomain("a"), "127.0.0.1", "127.0.0.1:0", "127.0.0.1:0",
-                "127.0.0.1:0", 0, true, 1_000, store.address(), Optional.of(store.address()), bounds);
-    }
+    private final Edge edge = closer.add(
+            new Edge(Settings.of("front-1", store, 300, 1_000), 0, Loops.CLOCK_MILLIS, System::currentTimeMillis));
 
     @BeforeEach
     void start() throws Exception {
@@ -105,8 +95,8 @@
     }
 
     private HttpRequest.Builder builder(String route, String key) {
-        return HttpRequest.newBuilder(URI.create(
-                        "http://127.0.0.1:" + edge.frontAddress().getPort() + "/" + route + "/x?y=1"))
+        return HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + edge.frontAddress().getPort() + "/" + route + "/x?y=1"))
                 .timeout(Duration.ofSeconds(5))
                 .header("Authorization", "Bearer " + key)
                 .header(Headers.ATTEMPT, UUID.randomUUID().toString())
@@ -207,7 +197,8 @@
         first.mode(StandinEndpoint.Mode.BREAKING);
         for (int call = 0; call < 4; call++) {
             String body = call("ask", "key").body();
-            assertEquals("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n", body);
+            assertEquals(
+                    "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n", body);
         }
         assertTrue(first.runs().size() > 0, "the stream broke at least once");
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/control/EndpointBookTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/control/EndpointBookTest.java
@@ -18,7 +18,8 @@
     private final EndpointBook book = new EndpointBook();
 
     private static KeyedRecord entry(String id, String state) {
-        String value = "{\"Service\":\"app\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"" + state + "\"}";
+        String value = "{\"Service\":\"app\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"a\",\"Slots\":6,\"State\":\""
+                + state + "\"}";
         return new KeyedRecord("servers/" + id, value.getBytes(StandardCharsets.UTF_8), 0);
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
@@ -75,12 +75,15 @@
      * Sends bytes and reads until the server closes or nothing comes for a while.
      */
     private String talk(String bytes) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
+        try (Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
             socket.setSoTimeout(800);
             socket.getOutputStream().write(bytes.replace("~", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
             StringBuilder text = new StringBuilder();
             try {
-                for (int next = socket.getInputStream().read(); next >= 0; next = socket.getInputStream().read()) {
+                for (int next = socket.getInputStream().read();
+                        next >= 0;
+                        next = socket.getInputStream().read()) {
                     text.append((char) next);
                 }
                 text.append("<closed>");
@@ -127,7 +130,8 @@
 
     @Test
     void testRequestsSentAheadAreAnsweredInOrder() throws IOException {
-        String answer = talk("GET /a HTTP/1.1~~POST /b HTTP/1.1~Transfer-Encoding: chunked~~3~xyz~0~~GET /c HTTP/1.1~~");
+        String answer =
+                talk("GET /a HTTP/1.1~~POST /b HTTP/1.1~Transfer-Encoding: chunked~~3~xyz~0~~GET /c HTTP/1.1~~");
         assertEquals(3, answer.split("HTTP/1.1 200").length - 1);
         assertEquals(List.of("GET /a ", "POST /b xyz", "GET /c "), handled);
     }
@@ -145,7 +149,8 @@
 
     @Test
     void testCallerThatLeavesIsNoticed() throws Exception {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
+        try (Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
             socket.getOutputStream().write("GET /wait HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             Thread.sleep(100);
         }
@@ -162,7 +167,8 @@
 
     @Test
     void testSilentConnectionIsClosed() throws Exception {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
+        try (Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
             socket.setSoTimeout(3_000);
             assertEquals(-1, socket.getInputStream().read());
         }
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
@@ -24,7 +24,8 @@
  */
 class ConnectionPoolTest {
 
-    private static final String WHOLE = "HTTP/1.1 200 OK\\r\\nX-Ragwortpitch-Attempt-Id: me\\r\\nContent-Length: 2\\r\\n\\r\\nok";
+    private static final String WHOLE =
+            "HTTP/1.1 200 OK\\r\\nX-Ragwortpitch-Attempt-Id: me\\r\\nContent-Length: 2\\r\\n\\r\\nok";
 
     private final Loops loops = new Loops();
 
@@ -38,11 +39,7 @@
     private String send(String address) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
         OutboundRequest request = new OutboundRequest(
-                "POST",
-                "/x",
-                new DefaultHttpHeaders(),
-                Unpooled.copiedBuffer("body", StandardCharsets.US_ASCII),
-                "me");
+                "POST", "/x", new DefaultHttpHeaders(), Unpooled.copiedBuffer("body", StandardCharsets.US_ASCII), "me");
         loops.loop().execute(() -> pool.send(address, request, Long.MAX_VALUE, new Recorder(outcome)));
         return outcome.get(5, TimeUnit.SECONDS);
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
@@ -94,7 +94,10 @@
         }
         String lower = head.toString().toLowerCase(java.util.Locale.ROOT);
         int at = lower.indexOf("content-length:");
-        int length = at < 0 ? 0 : Integer.parseInt(lower.substring(at + 15, lower.indexOf("\r\n", at)).trim());
+        int length = at < 0
+                ? 0
+                : Integer.parseInt(
+                        lower.substring(at + 15, lower.indexOf("\r\n", at)).trim());
         return head + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/EventSplitterTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/EventSplitterTest.java
@@ -25,7 +25,8 @@
 
     @Test
     void testIdsAreRead() {
-        List<Long> ids = feed(new EventSplitter(), STREAM).stream().map(StreamEvent::id).toList();
+        List<Long> ids =
+                feed(new EventSplitter(), STREAM).stream().map(StreamEvent::id).toList();
         assertEquals(List.of(1L, 2L, StreamEvent.NO_ID, 12L), ids);
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/ForwardHeadersTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/ForwardHeadersTest.java
@@ -34,12 +34,14 @@
                 "Upgrade"
             })
     void testSystemsAndConnectionsHeadersStayBehind(String name) {
-        assertFalse(ForwardHeaders.ofRequest(new DefaultHttpHeaders().set(name, "x")).contains(name));
+        assertFalse(ForwardHeaders.ofRequest(new DefaultHttpHeaders().set(name, "x"))
+                .contains(name));
     }
 
     @Test
     void testHeadersThatTheConnectionNamesStayBehind() {
-        HttpHeaders sent = new DefaultHttpHeaders().set("Connection", "close, X-Mine").set("X-Mine", "1");
+        HttpHeaders sent =
+                new DefaultHttpHeaders().set("Connection", "close, X-Mine").set("X-Mine", "1");
         assertFalse(ForwardHeaders.ofRequest(sent).contains("X-Mine"));
     }
 
@@ -55,7 +57,8 @@
 
     @Test
     void testOthersGoOnAsTheyAre() {
-        HttpHeaders sent = new DefaultHttpHeaders().add("X-A", "1").add("X-A", "2").add(Headers.TOKENS, "10,5");
+        HttpHeaders sent =
+                new DefaultHttpHeaders().add("X-A", "1").add("X-A", "2").add(Headers.TOKENS, "10,5");
         HttpHeaders forwarded = ForwardHeaders.ofRequest(sent);
         assertEquals(2, forwarded.getAll("X-A").size());
         assertTrue(forwarded.contains(Headers.TOKENS));
--- a/policy/src/main/java/org/ragwortpitch/deployment/AccountSpec.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/AccountSpec.java
@@ -12,8 +12,7 @@
  * @param burstTokens     what it may spend at once beyond its rate
  * @param plainTokens     what a request counts that states no tokens
  */
-public record AccountSpec(
-        AccountId id, OptionalInt urgency, long tokensPerSecond, long burstTokens, long plainTokens) {
+public record AccountSpec(AccountId id, OptionalInt urgency, long tokensPerSecond, long burstTokens, long plainTokens) {
 
     /**
      * Tells whether the account is held to a rate.
--- a/policy/src/main/java/org/ragwortpitch/deployment/Daemon.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Daemon.java
@@ -12,5 +12,4 @@
  * @param frontAddress where callers connect, as host and port
  * @param peerAddress  where other daemons send to, as host and port
  */
-public record Daemon(
-        InstanceId id, long bornMillis, FailureDomain domain, String frontAddress, String peerAddress) {}
+public record Daemon(InstanceId id, long bornMillis, FailureDomain domain, String frontAddress, String peerAddress) {}
--- a/policy/src/main/java/org/ragwortpitch/deployment/RouteTable.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/RouteTable.java
@@ -16,8 +16,8 @@
      * Indexes routes; of two with the same host and prefix the later one counts.
      */
     public RouteTable(List<Route> routes) {
-        routes.forEach(route -> byHost.computeIfAbsent(route.host(), host -> new HashMap<>())
-                .put(route.pathPrefix(), route));
+        routes.forEach(route ->
+                byHost.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.pathPrefix(), route));
     }
 
     /**
--- a/policy/src/main/java/org/ragwortpitch/ledger/UsageJournal.java
+++ b/policy/src/main/java/org/ragwortpitch/ledger/UsageJournal.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.ragwortpitch.identity.AccountId;
-import org.ragwortpitch.identity.InstanceId;
 
 /**
  * The state that the usage journal amounts to, the same for every reader: sums of what daemons counted, and the figures
@@ -20,7 +19,7 @@
     private final TreeMap<Long, Map<AccountId, Long>> sums = new TreeMap<>();
     private final TreeMap<Long, Map<AccountId, Long>> frozen = new TreeMap<>();
     private final TreeMap<Long, Set<String>> seen = new TreeMap<>();
-    private final TreeMap<Long, Set<InstanceId>> writers = new TreeMap<>();
+    private final TreeMap<Long, Set<Life>> writers = new TreeMap<>();
 
     /**
      * Applies the next record.
@@ -31,7 +30,8 @@
         } else if (!frozen.containsKey(entry.window())
                 && seen.computeIfAbsent(entry.window(), window -> new HashSet<>())
                         .add(entry.daemon() + "#" + entry.bornMillis() + "#" + entry.part())) {
-            writers.computeIfAbsent(entry.window(), window -> new HashSet<>()).add(entry.daemon());
+            writers.computeIfAbsent(entry.window(), window -> new HashSet<>())
+                    .add(new Life(entry.daemon(), entry.bornMillis()));
             Map<AccountId, Long> sum = sums.computeIfAbsent(entry.window(), window -> new TreeMap<>());
             entry.counts().forEach((account, count) -> sum.merge(account, count, Long::sum));
         }
@@ -53,9 +53,9 @@
     }
 
     /**
-     * Tells the daemons whose counts of a window are known.
+     * Tells the lives of daemons whose counts of a window are known.
      */
-    public Set<InstanceId> writers(long window) {
+    public Set<Life> writers(long window) {
         return writers.getOrDefault(window, Set.of());
     }
 
--- a/policy/src/main/java/org/ragwortpitch/ledger/WindowCounts.java
+++ b/policy/src/main/java/org/ragwortpitch/ledger/WindowCounts.java
@@ -10,8 +10,12 @@
  */
 public final class WindowCounts {
 
+    /** Windows whose totals are kept to tell other daemons. */
+    private static final int RECENT_WINDOWS = 2;
+
     private final long windowMillis;
     private final TreeMap<Long, Map<AccountId, Long>> windows = new TreeMap<>();
+    private final TreeMap<Long, Map<AccountId, Long>> recent = new TreeMap<>();
     private long lastTaken = Long.MIN_VALUE;
 
     /**
@@ -29,7 +33,10 @@
      * @param wallMillis when it began to run, in milliseconds since 1970
      */
     public void began(AccountId account, long wallMillis) {
-        windows.computeIfAbsent(windowAt(wallMillis), number -> new HashMap<>()).merge(account, 1L, Long::sum);
+        long window = windowAt(wallMillis);
+        windows.computeIfAbsent(window, number -> new HashMap<>()).merge(account, 1L, Long::sum);
+        recent.computeIfAbsent(window, number -> new HashMap<>()).merge(account, 1L, Long::sum);
+        recent.headMap(recent.lastKey() - RECENT_WINDOWS).clear();
     }
 
     /**
@@ -39,6 +46,13 @@
         return Math.floorDiv(wallMillis, windowMillis);
     }
 
+    /**
+     * Tells the totals of the last windows, taken or not.
+     */
+    public Map<Long, Map<AccountId, Long>> recent() {
+        return recent;
+    }
+
     /**
      * Takes the counts of all windows, also of the one that hasn't ended.
      */
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
@@ -9,8 +9,8 @@
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Generation;
-import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
 
 /**
  * Chooses the engines with the least estimated time to the first event, plus what bytes between failure domains, moved
@@ -64,19 +64,24 @@
         for (Engine decoder : decoders) {
             double extra = extraMillis(decoder, generation);
             double local = EngineEstimate.localMillis(decoder, generation);
-            best = better(best, new Choice(
-                    new Placement(decoder, Optional.empty(), local, EngineEstimate.localWaitMillis(decoder)),
-                    local + extra + EngineEstimate.disturbedMillis(decoder, generation)));
+            best = better(
+                    best,
+                    new Choice(
+                            new Placement(decoder, Optional.empty(), local, EngineEstimate.localWaitMillis(decoder)),
+                            local + extra + EngineEstimate.disturbedMillis(decoder, generation)));
             if (reader.isPresent()) {
                 double time = reader.get().millis() + EngineEstimate.handedOverMillis(decoder, generation);
                 double cost = reader.get().cost() - reader.get().millis() + time + HAND_OVER_MILLIS + extra;
-                best = better(best, new Choice(
-                        new Placement(
-                                decoder,
-                                Optional.of(reader.get().engine()),
-                                time,
-                                EngineEstimate.readerWaitMillis(reader.get().engine())),
-                        cost));
+                best = better(
+                        best,
+                        new Choice(
+                                new Placement(
+                                        decoder,
+                                        Optional.of(reader.get().engine()),
+                                        time,
+                                        EngineEstimate.readerWaitMillis(
+                                                reader.get().engine())),
+                                cost));
             }
         }
         return Optional.ofNullable(best).map(Choice::placement);
@@ -130,7 +135,9 @@
     }
 
     private static List<Engine> withRole(Collection<Engine> engines, EndpointRole role) {
-        return engines.stream().filter(engine -> engine.endpoint().role() == role).toList();
+        return engines.stream()
+                .filter(engine -> engine.endpoint().role() == role)
+                .toList();
     }
 
     /**
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
@@ -48,7 +48,8 @@
      */
     public static double readMillis(Engine engine, Generation generation) {
         int uncached = uncachedTokens(engine, generation);
-        double own = READ_SETUP_MILLIS + uncached / READ_TOKENS_PER_MILLI + pairsMillis(uncached, generation.promptTokens());
+        double own =
+                READ_SETUP_MILLIS + uncached / READ_TOKENS_PER_MILLI + pairsMillis(uncached, generation.promptTokens());
         return engine.slowness() * own + readerWaitMillis(engine);
     }
 
@@ -57,7 +58,8 @@
      */
     public static double localMillis(Engine engine, Generation generation) {
         int uncached = uncachedTokens(engine, generation);
-        double own = uncached / BESIDE_TOKENS_PER_MILLI + pairsMillis(uncached, generation.promptTokens()) / BESIDE_TOKENS_SHARE;
+        double own = uncached / BESIDE_TOKENS_PER_MILLI
+                + pairsMillis(uncached, generation.promptTokens()) / BESIDE_TOKENS_SHARE;
         return engine.slowness() * (own + FIRST_EVENT_MILLIS) + localWaitMillis(engine);
     }
 
--- a/policy/src/main/java/org/ragwortpitch/scaling/EngineNeed.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/EngineNeed.java
@@ -48,8 +48,7 @@
             past.clear();
             past.add(new Past(nowMillis, new EngineCount(firstReaders, domains)));
         }
-        past.add(new Past(
-                nowMillis, new EngineCount(Math.max(FEWEST_READERS, readers), Math.max(domains, decoders))));
+        past.add(new Past(nowMillis, new EngineCount(Math.max(FEWEST_READERS, readers), Math.max(domains, decoders))));
         while (past.size() > 1 && nowMillis - past.peek().atMillis() > LOWER_MILLIS) {
             past.poll();
         }
--- a/policy/src/main/java/org/ragwortpitch/scaling/FleetPlanner.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/FleetPlanner.java
@@ -49,7 +49,8 @@
         Map<FailureDomain, DomainFleet> plan = new HashMap<>();
         now.forEach((domain, fleet) -> {
             int wantedFirm = firm.get(domain);
-            int staying = serving && enough && spec.spotPrice() > 0 ? stayingFirm(spec, each, wantedFirm, fleet) : wantedFirm;
+            int staying =
+                    serving && enough && spec.spotPrice() > 0 ? stayingFirm(spec, each, wantedFirm, fleet) : wantedFirm;
             int stayingFirm = serving && !enough ? Math.max(wantedFirm, fleet.firm()) : staying;
             int reclaimable = spec.spotPrice() <= 0 ? 0 : each - (domain.equals(byPrice.get(0)) ? 1 : 0);
             int kept = enough ? reclaimable : Math.max(reclaimable, fleet.reclaimable());
--- a/policy/src/main/java/org/ragwortpitch/scaling/RolePlan.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/RolePlan.java
@@ -27,7 +27,8 @@
      *
      * @param engines  the engines of a pool that stay
      * @param decoders how many have to make tokens at most; no more than a third does
-     * @param fresh    engines that have served nothing yet; others that make tokens go on, unless more than twice as many do as have to
+     * @param fresh    engines that have served nothing yet; others that make tokens go on, unless more than twice as
+     *                 many do as have to
      * @return the new role of each engine that changes
      */
     public static Map<Endpoint, EndpointRole> changes(
--- a/policy/src/test/java/org/ragwortpitch/deployment/RouteTableTest.java
+++ b/policy/src/test/java/org/ragwortpitch/deployment/RouteTableTest.java
@@ -38,7 +38,8 @@
     })
     void testLongestPrefixOfTheHostWins(String host, String path, String expected) {
         assertEquals(
-                expected, TABLE.find(host, path).map(route -> route.id().value()).orElse("-"));
+                expected,
+                TABLE.find(host, path).map(route -> route.id().value()).orElse("-"));
     }
 
     @ParameterizedTest
--- a/policy/src/test/java/org/ragwortpitch/ledger/UsageJournalTest.java
+++ b/policy/src/test/java/org/ragwortpitch/ledger/UsageJournalTest.java
@@ -34,7 +34,7 @@
         journal.apply(counted("a", 1, 2));
         journal.apply(counted("b", 0, 4));
         assertEquals(Map.of(PAWS, 9L), journal.counted(5));
-        assertEquals(Set.of(new InstanceId("a"), new InstanceId("b")), journal.writers(5));
+        assertEquals(Set.of(new Life(new InstanceId("a"), 1), new Life(new InstanceId("b"), 1)), journal.writers(5));
     }
 
     @Test
@@ -46,6 +46,27 @@
         assertEquals(Optional.of(Map.of(PAWS, 3L)), journal.frozen(5));
     }
 
+    @Test
+    void testCountsThatPeersToldOnlyRise() {
+        PeerCounts peers = new PeerCounts();
+        Life life = new Life(new InstanceId("a"), 1);
+        peers.told(life, 5, PAWS, 3);
+        peers.told(life, 5, PAWS, 2);
+        peers.told(new Life(new InstanceId("a"), 2), 5, PAWS, 1);
+        assertEquals(3, peers.copy().get(5L).get(life).get(PAWS));
+        assertEquals(2, peers.copy().get(5L).size());
+        peers.told(life, 100, PAWS, 1);
+        assertEquals(Set.of(100L), peers.copy().keySet());
+    }
+
+    @Test
+    void testRecentCountsStayAfterTheyWereTaken() {
+        WindowCounts counts = new WindowCounts(5_000);
+        counts.began(PAWS, 9_999);
+        counts.takeEnded(10_000);
+        assertEquals(Map.of(1L, Map.of(PAWS, 1L)), counts.recent());
+    }
+
     @Test
     void testOldWindowsAreForgotten() {
         journal.apply(frozen(3));
--- a/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
+++ b/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
@@ -32,7 +32,15 @@
 
     static Engine engine(String id, EndpointRole role, FailureDomain domain) {
         Endpoint endpoint = new Endpoint(
-                new EndpointId(id), new PoolId("p"), "10.0.0.1:80", domain, 64, false, role, 0, false,
+                new EndpointId(id),
+                new PoolId("p"),
+                "10.0.0.1:80",
+                domain,
+                64,
+                false,
+                role,
+                0,
+                false,
                 OptionalLong.empty());
         return new Engine(endpoint, new EngineSpec(64, 500_000, 163_840, 1_700_000, 5_000, 3_000));
     }
@@ -76,7 +84,11 @@
         for (long subject = 1; subject <= 200; subject++) {
             Placement theirs = other.choose(prompt(subject, 0), engines).orElseThrow();
             same += reader(prompt(subject, 0), engines)
-                            .equals(theirs.reader().orElseThrow().endpoint().id().value())
+                            .equals(theirs.reader()
+                                    .orElseThrow()
+                                    .endpoint()
+                                    .id()
+                                    .value())
                     ? 1
                     : 0;
         }
@@ -121,7 +133,8 @@
                 .findFirst()
                 .orElseThrow();
         for (int read = 0; read < 10; read++) {
-            slow.measured(3 * EngineEstimate.readMillis(slow, prompt(5, 6)), EngineEstimate.readMillis(slow, prompt(5, 6)));
+            slow.measured(
+                    3 * EngineEstimate.readMillis(slow, prompt(5, 6)), EngineEstimate.readMillis(slow, prompt(5, 6)));
         }
         assertNotEquals(preferred, reader(prompt(5, 6), engines));
         assertTrue(slow.slowness() <= 8);
--- a/policy/src/test/java/org/ragwortpitch/scaling/FleetPlannerTest.java
+++ b/policy/src/test/java/org/ragwortpitch/scaling/FleetPlannerTest.java
@@ -61,7 +61,9 @@
         var plan = FleetPlanner.plan(SPEC, 21, now, Set.of(), true);
         assertEquals(new DomainFleet(6, 2), plan.get(A));
         now.put(A, new DomainFleet(6, 2));
-        assertEquals(new DomainFleet(4, 4), FleetPlanner.plan(SPEC, 21, now, Set.of(), true).get(A));
+        assertEquals(
+                new DomainFleet(4, 4),
+                FleetPlanner.plan(SPEC, 21, now, Set.of(), true).get(A));
     }
 
     @Test
@@ -84,7 +86,8 @@
         ScalingSpec firmOnly = new ScalingSpec(1, 8, 4_000, 0, SPEC.prices());
         var plan = FleetPlanner.plan(firmOnly, 9, each(3, 0), Set.of(), true);
         assertEquals(9, plan.values().stream().mapToInt(DomainFleet::firm).sum());
-        assertEquals(0, plan.values().stream().mapToInt(DomainFleet::reclaimable).sum());
+        assertEquals(
+                0, plan.values().stream().mapToInt(DomainFleet::reclaimable).sum());
     }
 
     @Property(tries = 500)
--- a/policy/src/test/java/org/ragwortpitch/scaling/RolePlanTest.java
+++ b/policy/src/test/java/org/ragwortpitch/scaling/RolePlanTest.java
@@ -21,8 +21,16 @@
 
     private static Endpoint engine(String id, EndpointRole role, String domain, boolean reclaimable) {
         return new Endpoint(
-                new EndpointId(id), new PoolId("p"), "10.0.0.1:80", new FailureDomain(domain), 64, false, role, 0,
-                reclaimable, OptionalLong.empty());
+                new EndpointId(id),
+                new PoolId("p"),
+                "10.0.0.1:80",
+                new FailureDomain(domain),
+                64,
+                false,
+                role,
+                0,
+                reclaimable,
+                OptionalLong.empty());
     }
 
     private static Map<String, EndpointRole> changes(List<Endpoint> engines, int decoders, boolean fresh) {
