Let requests in while their first event can be on time

Cause: a wait as long as the target was allowed, so that many requests that were let in were late. Change: the wait is bounded by the time that a request has to spare; prompts that are long by themselves may wait half their target.

--- a/policy/src/main/java/org/ragwortpitch/placement/Placement.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/Placement.java
@@ -12,13 +12,16 @@
  */
 public record Placement(Engine decoder, Optional<Engine> reader, double firstMillis, double waitMillis) {
 
-    /** The part of the target that the most urgent requests may wait for their turn; more would make them late. */
+    /** The part of the time to spare that the most urgent requests may wait for their turn. */
     private static final double MOST_WAIT_SHARE = 1;
 
     /** How much less of it each further rank may wait, so that the least urgent give way first. */
-    private static final double RANK_SHARE = 0.2;
+    private static final double RANK_SHARE = 0.15;
 
-    private static final double LEAST_WAIT_SHARE = 0.4;
+    private static final double LEAST_WAIT_SHARE = 0.5;
+
+    /** Prompts that take longer than their target by themselves may wait this part of it: they are served too. */
+    private static final double LONG_WAIT_SHARE = 0.5;
 
     /**
      * Tells whether a request's turn comes soon enough that letting it in is of more use than sending it away: behind a
@@ -29,6 +32,7 @@
      */
     public boolean isWorthWaiting(int targetMillis, int urgency) {
         double share = Math.max(LEAST_WAIT_SHARE, MOST_WAIT_SHARE - RANK_SHARE * urgency);
-        return waitMillis <= share * targetMillis;
+        double spareMillis = targetMillis - (firstMillis - waitMillis);
+        return waitMillis <= Math.max(LONG_WAIT_SHARE * targetMillis, share * spareMillis);
     }
 }
