--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -125,7 +125,7 @@
                                 .map(EndpointState::engine)
                                 .toList()));
         if (choice.isEmpty()) {
-            giveUp("no engine that makes tokens is left of " + usable.size());
+            exchange.giveUp(ranAt > 0, RETRY_AFTER_MILLIS, "no engine that makes tokens is left of " + usable.size());
             return;
         }
         placement = choice.get();
@@ -133,7 +133,10 @@
         parts.demands().read(pool, EngineEstimate.uncachedTokens(reads, generation));
         long patience = Math.min(exchange.remainingMillis(now), patienceMillis());
         if (ranAt == 0 && placement.firstMillis() > patience) {
-            giveUp("the first event would take " + (long) placement.firstMillis() + " of " + patience + " ms");
+            exchange.giveUp(
+                    ranAt > 0,
+                    RETRY_AFTER_MILLIS,
+                    "the first event would take " + (long) placement.firstMillis() + " of " + patience + " ms");
             return;
         }
         int urgency = exchange.route().urgency();
@@ -349,15 +352,7 @@
         if (allowed) {
             place(now);
         } else {
-            giveUp(reason);
-        }
-    }
-
-    private void giveUp(String reason) {
-        if (ranAt == 0) {
-            exchange.refuse(UNAVAILABLE, RETRY_AFTER_MILLIS, reason);
-        } else {
-            exchange.fail(BAD_GATEWAY, reason);
+            exchange.giveUp(ranAt > 0, RETRY_AFTER_MILLIS, reason);
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -238,6 +238,20 @@
         }
     }
 
+    /**
+     * Ends a request that isn't sent again.
+     *
+     * @param mayHaveRun       whether an endpoint may have run it
+     * @param retryAfterMillis when the caller may come back if it has not run, in milliseconds
+     */
+    void giveUp(boolean mayHaveRun, long retryAfterMillis, String reason) {
+        if (mayHaveRun) {
+            fail(HttpResponseStatus.BAD_GATEWAY.code(), reason);
+        } else {
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), retryAfterMillis, reason);
+        }
+    }
+
     /**
      * Gives up a request that may have run: with an error, or by breaking off a stream.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -93,7 +93,10 @@
     private void send(long now) {
         Optional<EndpointState> choice = choose(now);
         if (choice.isEmpty()) {
-            giveUp(tried.isEmpty() ? "no endpoint of the pool is listed" : "no other endpoint is left");
+            exchange.giveUp(
+                    ranAt > 0,
+                    RETRY_AFTER_MILLIS,
+                    tried.isEmpty() ? "no endpoint of the pool is listed" : "no other endpoint is left");
             return;
         }
         EndpointState target = choice.get();
@@ -140,15 +143,7 @@
         if (allowed) {
             send(now);
         } else {
-            giveUp(reason);
-        }
-    }
-
-    private void giveUp(String reason) {
-        if (ranAt == 0) {
-            exchange.refuse(UNAVAILABLE, RETRY_AFTER_MILLIS, reason);
-        } else {
-            exchange.fail(BAD_GATEWAY, reason);
+            exchange.giveUp(ranAt > 0, RETRY_AFTER_MILLIS, reason);
         }
     }
 
