Write the last log lines before the process ends

Change: the end waits for the log, for 0.2 s at most; callers of a daemon that knows no configuration yet come back after 0.4 s, since it knows one 0.3 s after its start.

--- a/edge/src/main/java/org/ragwortpitch/edge/Main.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Main.java
@@ -22,13 +22,16 @@
     /** How often the settings file is looked at, in milliseconds; it may change without a signal. */
     private static final long SETTINGS_MILLIS = 2_000;
 
+    /** How long the last log lines may take, in milliseconds; the process is killed soon after. */
+    private static final long LAST_LINES_MILLIS = 200;
+
     private Main() {}
 
     /**
      * Starts a daemon with the settings file that the environment names.
      */
     public static void main(String[] arguments) {
-        QueuedLog.install(new LogFormat(), System.out);
+        QueuedLog log = QueuedLog.install(new LogFormat(), System.out);
         String file = System.getenv(InstanceFile.VARIABLE);
         if (file == null) {
             System.err.println(InstanceFile.VARIABLE + " is not set: let it name the platform's settings file");
@@ -38,7 +41,7 @@
         try {
             Edge edge =
                     new Edge(InstanceFile.read(Path.of(file)), METRICS_PORT, clockMillis, System::currentTimeMillis);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(edge), "shutdown"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(edge, log), "shutdown"));
             edge.start();
             SettingsWatch watch = new SettingsWatch(Path.of(file), edge::reload);
             watch.onHangUp();
@@ -52,9 +55,10 @@
         }
     }
 
-    private static void stop(Edge edge) {
+    private static void stop(Edge edge, QueuedLog log) {
         try {
             edge.drain();
+            log.awaitWritten(LAST_LINES_MILLIS);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/log/QueuedLog.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/log/QueuedLog.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
@@ -25,8 +26,11 @@
 
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    private static final long POLL_MILLIS = 5;
+
     private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong pending = new AtomicLong();
     private final Formatter format;
     private final PrintStream out;
     private long secondStartedMillis;
@@ -43,12 +47,26 @@
     /**
      * Makes this the only log of the process.
      */
-    public static void install(Formatter format, PrintStream out) {
+    public static QueuedLog install(Formatter format, PrintStream out) {
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        root.addHandler(new QueuedLog(format, out));
+        QueuedLog log = new QueuedLog(format, out);
+        root.addHandler(log);
+        return log;
+    }
+
+    /**
+     * Waits until all lines are written, before the process ends.
+     *
+     * @param millis how long at most, in milliseconds
+     */
+    public void awaitWritten(long millis) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (pending.get() > 0 && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
     }
 
     @Override
@@ -56,7 +74,13 @@
         if (!isLoggable(record)) {
             return;
         }
-        if (!withinRate(record.getMillis()) || !waiting.offer(format.format(record))) {
+        if (!withinRate(record.getMillis())) {
+            dropped.incrementAndGet();
+            return;
+        }
+        pending.incrementAndGet();
+        if (!waiting.offer(format.format(record))) {
+            pending.decrementAndGet();
             dropped.incrementAndGet();
         }
     }
@@ -74,8 +98,10 @@
         try {
             while (true) {
                 lines.append(waiting.take());
+                int taken = 1;
                 for (String more = waiting.poll(); more != null; more = waiting.poll()) {
                     lines.append(more);
+                    taken++;
                 }
                 long lost = dropped.getAndSet(0);
                 if (lost > 0) {
@@ -85,6 +111,7 @@
                 byte[] bytes = lines.toString().getBytes(StandardCharsets.UTF_8);
                 out.write(bytes, 0, bytes.length);
                 out.flush();
+                pending.addAndGet(-taken);
                 lines.setLength(0);
             }
         } catch (InterruptedException exception) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -44,8 +44,8 @@
 
     private static final String BEARER = "bearer ";
 
-    /** Retry-After while no configuration is known, in milliseconds; a daemon learns it within about a second. */
-    private static final long UNCONFIGURED_MILLIS = 1_000;
+    /** Retry-After while no configuration is known, in milliseconds; a daemon learns it in about 0.3 s. */
+    private static final long UNCONFIGURED_MILLIS = 400;
 
     private final TrafficParts parts;
     private final Accounts accounts;
