Take only what ends before the process once a daemon stops

Change: besides the two seconds that are told since, a daemon refuses, three seconds after it was told to stop, what might outlast it, and says to come back at once.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -20,6 +20,7 @@
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.draining.DrainWindow;
 import org.ragwortpitch.edge.control.Control;
 import org.ragwortpitch.edge.control.ControlListener;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
@@ -244,15 +245,18 @@
         Event.of("stopping").info(LOGGER);
         long graceMillis = bounds.graceMillis();
         long stopMillis = clockMillis.getAsLong();
-        trafficLoop.execute(front::drain);
+        long endMillis = stopMillis + (long) (graceMillis * END_SHARE);
+        trafficLoop.execute(() -> {
+            front.drain();
+            gateway.drain(new DrainWindow(stopMillis, endMillis));
+        });
         controlLoop.execute(() -> control.leave(() -> {}));
         TimeUnit.MILLISECONDS.sleep((long) (graceMillis * CLOSE_IDLE_SHARE));
-        long end = stopMillis + (long) (graceMillis * END_SHARE);
         trafficLoop.execute(() -> handOver(usage.takeAll()));
         do {
             trafficLoop.execute(front::closeIdle);
             TimeUnit.MILLISECONDS.sleep(100);
-        } while (clockMillis.getAsLong() < end && front.connections() > 0);
+        } while (clockMillis.getAsLong() < endMillis && front.connections() > 0);
         Event.of("stopped").with("connections", front.connections()).info(LOGGER);
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -16,6 +16,7 @@
 import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.deployment.Route;
+import org.ragwortpitch.draining.DrainWindow;
 import org.ragwortpitch.edge.front.CallerAnswer;
 import org.ragwortpitch.edge.front.CallerRequest;
 import org.ragwortpitch.edge.front.RequestHandler;
@@ -47,11 +48,15 @@
     /** Retry-After while no configuration is known, in milliseconds; a daemon learns it in about 0.3 s. */
     private static final long UNCONFIGURED_MILLIS = 400;
 
+    /** Retry-After of a daemon that stops, in milliseconds: others can take the request at once. */
+    private static final long ELSEWHERE_MILLIS = 100;
+
     private final TrafficParts parts;
     private final Accounts accounts;
     private final EngineChooser chooser;
     private final HttpCaller caller;
     private Deployment deployment;
+    private DrainWindow drain;
 
     /**
      * Makes a gateway that knows no configuration yet.
@@ -85,6 +90,13 @@
         return deployment == null ? CallerLimits.DEFAULT : deployment.limits();
     }
 
+    /**
+     * From now on, takes only what ends before the process does.
+     */
+    public void drain(DrainWindow window) {
+        drain = window;
+    }
+
     @Override
     public Cancellation handle(CallerRequest request, CallerAnswer answer) {
         String attemptId = request.headers().get(Headers.ATTEMPT);
@@ -122,6 +134,10 @@
         long tokens = generation
                 .map(Generation::countedTokens)
                 .orElse(account.map(AccountSpec::plainTokens).orElse(0L));
+        long limitMillis = Math.min(callerMillis(request, route), route.timeoutMillis());
+        if (drain != null && !drain.takes(limitMillis, now)) {
+            return refuse(attemptId, answer, UNAVAILABLE, ELSEWHERE_MILLIS, "this daemon stops: ask another");
+        }
         if (account.isPresent()) {
             AccountSpec spender = account.get();
             long waitMillis = accounts.spend(spender.id(), tokens, now);
--- a/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
@@ -253,10 +253,44 @@
         assertEquals(3, counted, store.duties().toString());
     }
 
+    @Test
+    void testSuccessWithoutASignatureIsNoSuccess() throws Exception {
+        serve("app", "", "");
+        first.mode(StandinEndpoint.Mode.UNSIGNED);
+        second.mode(StandinEndpoint.Mode.UNSIGNED);
+        assertEquals(502, call("book", "key").statusCode());
+        assertEquals(502, call("check", "key").statusCode());
+    }
+
     @Test
     void testDirectoryNamesTheDaemonUntilItLeaves() throws Exception {
         serve("app", "", "");
         assertEquals(200, status(edge.directoryAddress(), "/resolve?Name=paws.example&Zone=a"));
+        Thread drain = drain();
+        await(() -> status(edge.directoryAddress(), "/resolve?Name=paws.example&Zone=a") == 503);
+        assertEquals(503, status(edge.readyAddress(), "/readiness"));
+        assertEquals(200, call("check", "key").statusCode(), "callers that still come are served");
+        drain.interrupt();
+        drain.join();
+    }
+
+    @Test
+    void testDaemonThatStopsTakesNothingThatItMightCutShort() throws Exception {
+        serve("llm", "decode", "decode");
+        Thread drain = drain();
+        await(() -> status(edge.readyAddress(), "/readiness") == 503);
+        assertEquals(200, call("ask", "key").statusCode(), "early requests are served");
+        await(() -> call("ask", "key").statusCode() == 503);
+        int runs = first.runs().size() + second.runs().size();
+        HttpResponse<String> refused = call("ask", "key");
+        assertEquals(503, refused.statusCode());
+        assertTrue(refused.headers().firstValue("retry-after").isPresent());
+        assertEquals(runs, first.runs().size() + second.runs().size());
+        drain.interrupt();
+        drain.join();
+    }
+
+    private Thread drain() {
         Thread drain = new Thread(() -> {
             try {
                 edge.drain();
@@ -265,10 +299,6 @@
             }
         });
         drain.start();
-        await(() -> status(edge.directoryAddress(), "/resolve?Name=paws.example&Zone=a") == 503);
-        assertEquals(503, status(edge.readyAddress(), "/readiness"));
-        assertEquals(200, call("check", "key").statusCode(), "callers that still come are served");
-        drain.interrupt();
-        drain.join();
+        return drain;
     }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -30,6 +30,8 @@
         BREAKING,
         /** Answers with an error of its own. */
         FAILING,
+        /** Answers well, but doesn't sign. */
+        UNSIGNED,
         /** Never answers. */
         SILENT
     }
@@ -96,7 +98,9 @@
             return;
         }
         runs.add(request.headers());
-        headers.set(Headers.SEAL, "seal-" + id);
+        if (mode != Mode.UNSIGNED) {
+            headers.set(Headers.SEAL, "seal-" + id);
+        }
         if (mode == Mode.FAILING) {
             answer.whole(500, headers, text("failed"));
         } else if (request.headers().contains(Headers.TOKENS)) {
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/draining/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What a daemon that stops still takes.
+ */
+package org.ragwortpitch.draining;
