Hand an account's share to a home that has just joined

Seen in a trace: "ends, believed true, now [new]" at the former home, no word at the heir, three streams refused after 80 ms. Ruled out: streams that are never seen at once (in the traced runs all three were refused); a lost frame. Requests that come while the word is under way ask again, 25 ms apart, for a second from the change at most; what takes longer is refused at once as before.

--- /dev/null
+++ b/policy/src/test/java/org/ragwortpitch/limit/HandoverWindowTest.java
@@ -0,0 +1,31 @@
+package org.ragwortpitch.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests for which refusals a daemon asks again, where members changed at 5,000.
+ */
+class HandoverWindowTest {
+
+    private final HandoverWindow window = new HandoverWindow();
+
+    @ParameterizedTest
+    @CsvSource({
+        "NOT_READY, 5100, 5999, true",
+        "NOT_READY, 5100, 6000, false",
+        "NOT_READY, 6000, 6000, false",
+        "NOT_HOME, 7000, 7999, true",
+        "NOT_HOME, 7000, 8000, false",
+        "OVER_RATE, 5100, 5100, false",
+        "GRANTED, 5100, 5100, false",
+    })
+    void testOnlyWhatAHandoverExplainsIsAskedAgain(
+            AdmissionKind refusal, long askedMillis, long nowMillis, boolean again) {
+        window.follow(7, 5_000);
+        window.follow(7, 5_500);
+        assertEquals(again, window.mayPass(refusal, askedMillis, nowMillis));
+    }
+}
--- a/server/src/main/java/org/ragwortpitch/admission/AdmissionControl.java
+++ b/server/src/main/java/org/ragwortpitch/admission/AdmissionControl.java
@@ -17,6 +17,7 @@
 import org.ragwortpitch.limit.Admission;
 import org.ragwortpitch.limit.AdmissionKind;
 import org.ragwortpitch.limit.Allowance;
+import org.ragwortpitch.limit.HandoverWindow;
 import org.ragwortpitch.limit.LimitView;
 import org.ragwortpitch.limit.Limits;
 import org.ragwortpitch.limit.Surrender;
@@ -42,11 +43,22 @@
      */
     private static final long NOT_READY_RETRY_MILLIS = 500;
 
+    /**
+     * The pause before a home is asked again that takes over just now, in milliseconds; an exchange between daemons
+     * takes a few.
+     */
+    private static final long HANDOVER_PAUSE_MILLIS = 25;
+
     /**
      * The shares of this daemon; its own monitor guards it.
      */
     private final Limits limits;
 
+    /**
+     * Whether homes change just now; the monitor of the shares guards it.
+     */
+    private final HandoverWindow handover = new HandoverWindow();
+
     /**
      * Counts what was admitted and refused.
      */
@@ -90,9 +102,13 @@
                 snapshot.isMember() ? snapshot.limitEndMillis() : Long.MIN_VALUE);
         List<Surrender> surrendered;
         synchronized (limits) {
+            handover.follow(snapshot.changedOffset(), clocks.nowMillis());
             surrendered = limits.update(view, clocks.nowMillis());
         }
-        surrendered.forEach(lenders::surrender);
+        // The heir may have joined by this very snapshot, so that nobody else knows its address yet.
+        surrendered.forEach(surrender -> snapshot.members().stream()
+                .filter(member -> member.incarnation().equals(surrender.heir()))
+                .forEach(heir -> lenders.surrender(heir, surrender)));
     }
 
     /**
@@ -109,22 +125,47 @@
                     "the request needs " + wish.tokens() + " tokens of prompt and output, more than the burst of "
                             + account.tokens().burst() + ": lower max_tokens or shorten the prompt"));
         }
+        return ask(account.id(), wish, clocks.nowMillis())
+                .whenComplete((granted, failure) -> count(account.id(), failure));
+    }
+
+    /**
+     * Asks this daemon if it is the account's home, else the home.
+     *
+     * @param firstAskedMillis when the request asked first
+     */
+    private CompletionStage<Ticket> ask(AccountId account, Allowance wish, long firstAskedMillis) {
         TransferId id = new TransferId(
                 Generators.timeBasedEpochRandomGenerator().generate().toString());
         Admission local;
         List<Incarnation> homes;
         synchronized (limits) {
-            local = limits.admit(account.id(), id, wish, clocks.nowMillis());
-            homes = limits.homesOf(account.id());
+            local = limits.admit(account, id, wish, clocks.nowMillis());
+            homes = limits.homesOf(account);
+        }
+        return switch (local.kind()) {
+            case GRANTED -> CompletableFuture.completedFuture(new Ticket(used -> settleHere(account, id, used)));
+            case NOT_HOME -> borrow(homes, account, id, wish, firstAskedMillis);
+            default -> askAgainOrRefuse(local, account, wish, firstAskedMillis);
+        };
+    }
+
+    /**
+     * Asks again soon if a new home just takes over.
+     */
+    private CompletionStage<Ticket> askAgainOrRefuse(
+            Admission refused, AccountId account, Allowance wish, long firstAskedMillis) {
+        boolean again;
+        synchronized (limits) {
+            again = handover.mayPass(refused.kind(), firstAskedMillis, clocks.nowMillis());
+        }
+        if (!again) {
+            return CompletableFuture.failedFuture(refusal(refused));
         }
-        CompletionStage<Ticket> ticket =
-                switch (local.kind()) {
-                    case GRANTED -> CompletableFuture.completedFuture(
-                            new Ticket(used -> settleHere(account.id(), id, used)));
-                    case NOT_HOME -> borrow(homes, account.id(), id, wish);
-                    default -> CompletableFuture.failedFuture(refusal(local));
-                };
-        return ticket.whenComplete((granted, failure) -> count(account.id(), failure));
+        return CompletableFuture.supplyAsync(
+                        () -> ask(account, wish, firstAskedMillis),
+                        CompletableFuture.delayedExecutor(HANDOVER_PAUSE_MILLIS, TimeUnit.MILLISECONDS))
+                .thenCompose(ticket -> ticket);
     }
 
     /**
@@ -160,7 +201,8 @@
      * @param wish    what the request needs
      * @return the ticket; fails with {@link RefusedException}
      */
-    private CompletionStage<Ticket> borrow(List<Incarnation> homes, AccountId account, TransferId id, Allowance wish) {
+    private CompletionStage<Ticket> borrow(
+            List<Incarnation> homes, AccountId account, TransferId id, Allowance wish, long firstAskedMillis) {
         if (homes.isEmpty()) {
             return CompletableFuture.failedFuture(
                     refusal(new Admission(AdmissionKind.NOT_READY, id, NOT_READY_RETRY_MILLIS)));
@@ -177,7 +219,7 @@
                         return CompletableFuture.completedFuture(
                                 new Ticket(used -> lenders.settle(home, account, id, used)));
                     }
-                    return CompletableFuture.failedFuture(refusal(admission));
+                    return askAgainOrRefuse(admission, account, wish, firstAskedMillis);
                 });
     }
 
--- a/server/src/main/java/org/ragwortpitch/admission/Lenders.java
+++ b/server/src/main/java/org/ragwortpitch/admission/Lenders.java
@@ -7,6 +7,7 @@
 import org.ragwortpitch.limit.Admission;
 import org.ragwortpitch.limit.Allowance;
 import org.ragwortpitch.limit.Surrender;
+import org.ragwortpitch.membership.Member;
 
 /**
  * Asks other daemons for allowance.
@@ -37,7 +38,8 @@
     /**
      * Hands a share to its new home. It may get lost, whereupon the new home starts with an empty one.
      *
+     * @param heir      the new home
      * @param surrender the surrender
      */
-    void surrender(Surrender surrender);
+    void surrender(Member heir, Surrender surrender);
 }
--- a/server/src/main/java/org/ragwortpitch/peering/PeerNetwork.java
+++ b/server/src/main/java/org/ragwortpitch/peering/PeerNetwork.java
@@ -171,9 +171,8 @@
     }
 
     @Override
-    public void surrender(Surrender surrender) {
-        find(surrender.heir())
-                .ifPresent(heir -> transport.call(heir.peerAddress(), Frames.surrender(surrender), CALL_MILLIS));
+    public void surrender(Member heir, Surrender surrender) {
+        transport.call(heir.peerAddress(), Frames.surrender(surrender), CALL_MILLIS);
     }
 
     /**
