Tell other daemons in rounds whose rate doesn't grow with the fleet

Cause: each daemon told all others five times a second, all in one moment; 68 daemons make 22,780 datagrams a second of about 1 KB, more than the grown sites' links of 7 Mbit/s carry. Change: a round is spread over steps of 50 ms, and lasts the longer, the more daemons are listed (450 ms with 68). News are told in every step of one round. The pause between reads of endpoints' entries follows from the time to act on one.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -29,6 +29,7 @@
 import org.ragwortpitch.edge.front.FrontServer;
 import org.ragwortpitch.edge.http.ConnectionPool;
 import org.ragwortpitch.edge.http.HttpCaller;
+import org.ragwortpitch.edge.peer.GossipRound;
 import org.ragwortpitch.edge.peer.GossipSocket;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.edge.traffic.Accounts;
@@ -57,9 +58,6 @@
 
     private static final int CONNECT_MILLIS = 700;
 
-    /** How often daemons tell each other, in milliseconds, in a small fleet. */
-    private static final long GOSSIP_MILLIS = 200;
-
     /** How often ended windows of usage are looked for, in milliseconds. */
     private static final long USAGE_MILLIS = 500;
 
@@ -199,7 +197,8 @@
      * Starts to follow the store and to tell other daemons.
      */
     public void start() {
-        trafficLoop.scheduleWithFixedDelay(gossiper::tell, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
+        trafficLoop.scheduleWithFixedDelay(
+                gossiper::tell, GossipRound.STEP_MILLIS, GossipRound.STEP_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
                 () -> handOver(usage.takeEnded(wallMillis.getAsLong())),
                 USAGE_MILLIS,
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -41,8 +41,8 @@
     /** How long the store waits for a change of configuration or daemons, in milliseconds; each call has a price. */
     private static final long WAIT_MILLIS = 10_000;
 
-    /** The pause between reads of the endpoints' entries, in milliseconds; a third of the time to act on one. */
-    private static final long ENDPOINTS_PACE_MILLIS = 600;
+    /** Reads of the endpoints' entries in the time to act on one: one may fail; each has a price. */
+    private static final int ENDPOINT_READS = 3;
 
     private static final long RETRY_MILLIS = 500;
 
@@ -137,7 +137,7 @@
     public void start() {
         list();
         follow(StoreForm.OPERATORS_TOPIC, 0, WAIT_MILLIS, this::deployments);
-        follow(StoreForm.ENDPOINTS_TOPIC, ENDPOINTS_PACE_MILLIS, 0, this::endpoints);
+        follow(StoreForm.ENDPOINTS_TOPIC, settings.bounds().drainMillis() / ENDPOINT_READS, 0, this::endpoints);
         follow(DaemonForm.TOPIC, 0, WAIT_MILLIS, this::daemons);
         loop.scheduleWithFixedDelay(this::dropMissing, RETRY_MILLIS, RETRY_MILLIS, TimeUnit.MILLISECONDS);
         duties.start();
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/GossipRound.java
@@ -0,0 +1,59 @@
+package org.ragwortpitch.edge.peer;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.ragwortpitch.deployment.Daemon;
+
+/**
+ * Which daemons are told next. All are told once in a round; a round lasts the longer, the more there are, so that what
+ * a daemon sends and receives doesn't grow with them. Confined to one thread.
+ */
+public final class GossipRound {
+
+    /** The pause between steps, in milliseconds: spreads a round, so that its datagrams don't queue at the link. */
+    public static final long STEP_MILLIS = 50;
+
+    /** The shortest round, in milliseconds: how old the word of another daemon usually gets. */
+    private static final long SHORTEST_MILLIS = 200;
+
+    /** Datagrams a second of one daemon: 1 KB each, 1.2 Mbit/s of the slowest link of 7 Mbit/s. */
+    private static final int DATAGRAMS_PER_SECOND = 150;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private List<Daemon> daemons = List.of();
+    private int step;
+
+    /**
+     * Takes a new list over.
+     */
+    public void apply(Collection<Daemon> others) {
+        daemons = others.stream()
+                .sorted(Comparator.comparing(daemon -> daemon.id().value()))
+                .toList();
+    }
+
+    /**
+     * Tells how long a round lasts, in milliseconds.
+     */
+    public long millis() {
+        return Math.max(SHORTEST_MILLIS, daemons.size() * MILLIS_PER_SECOND / DATAGRAMS_PER_SECOND);
+    }
+
+    /**
+     * Tells the steps of a round.
+     */
+    public int steps() {
+        return (int) ((millis() + STEP_MILLIS - 1) / STEP_MILLIS);
+    }
+
+    /**
+     * Tells the daemons of the next step.
+     */
+    public List<Daemon> step() {
+        int steps = steps();
+        step = (step + 1) % steps;
+        return daemons.subList(step * daemons.size() / steps, (step + 1) * daemons.size() / steps);
+    }
+}
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -16,7 +16,11 @@
     /** A daemon that wasn't heard of for this long, in milliseconds, gets no callers: several lost datagrams. */
     private static final long SILENT_MILLIS = 1_500;
 
+    /** The same where rounds are long, in rounds. */
+    private static final int SILENT_ROUNDS = 4;
+
     private final Map<InstanceId, Heard> heard = new HashMap<>();
+    private final GossipRound round = new GossipRound();
     private Map<InstanceId, Daemon> listed = new HashMap<>();
 
     /**
@@ -26,6 +30,7 @@
         Map<InstanceId, Daemon> next = new HashMap<>();
         daemons.forEach(daemon -> next.put(daemon.id(), daemon));
         listed = next;
+        round.apply(daemons);
     }
 
     /**
@@ -45,10 +50,10 @@
     }
 
     /**
-     * Tells the other daemons that are listed.
+     * Tells the daemons to tell something next, and how often each datagram's news are told.
      */
-    public Collection<Daemon> others() {
-        return listed.values();
+    public GossipRound round() {
+        return round;
     }
 
     /**
@@ -73,7 +78,11 @@
      */
     public boolean isHeard(InstanceId peer, long nowMillis) {
         Heard last = heard.get(peer);
-        return last != null && nowMillis - last.atMillis() <= SILENT_MILLIS;
+        return last != null && nowMillis - last.atMillis() <= silentMillis();
+    }
+
+    private long silentMillis() {
+        return Math.max(SILENT_MILLIS, SILENT_ROUNDS * round.millis());
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -1,12 +1,12 @@
 package org.ragwortpitch.edge.traffic;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.EngineSpec;
 import org.ragwortpitch.deployment.PromptPart;
+import org.ragwortpitch.edge.peer.Retold;
 import org.ragwortpitch.health.HealthScore;
 import org.ragwortpitch.placement.Engine;
 
@@ -21,7 +21,7 @@
     /** Within this time of its listing a new engine is ordered to another role if it gets one, in milliseconds. */
     static final long SETTLING_MILLIS = 1_500;
 
-    private final List<PromptPart> sentParts = new ArrayList<>();
+    private final Retold<PromptPart> sentParts = new Retold<>(MAX_SENT_PARTS);
     private final HealthScore health = new HealthScore();
     private final Engine engine;
     private Endpoint endpoint;
@@ -81,18 +81,16 @@
      */
     void sentParts(List<PromptPart> parts) {
         engine.cache().sent(parts);
-        if (sentParts.size() < MAX_SENT_PARTS) {
-            sentParts.addAll(parts);
-        }
+        parts.forEach(sentParts::add);
     }
 
     /**
-     * Takes the parts that were sent since the last time, to tell other daemons.
+     * Tells the parts that were sent there lately, for the next datagrams to other daemons.
+     *
+     * @param times how often each part is told
      */
-    List<PromptPart> takeSentParts() {
-        List<PromptPart> taken = List.copyOf(sentParts);
-        sentParts.clear();
-        return taken;
+    List<PromptPart> sentParts(int times) {
+        return sentParts.next(times);
     }
 
     int running() {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -78,12 +78,12 @@
     }
 
     /**
-     * Tells all other daemons the present state, and forgets what silent ones had under way.
+     * Tells the next other daemons the present state, and forgets what silent ones had under way.
      */
     public void tell() {
         long now = clockMillis.getAsLong();
-        byte[] datagram = message().toByteArray();
-        peers.others().forEach(daemon -> {
+        byte[] datagram = message(peers.round().steps()).toByteArray();
+        peers.round().step().forEach(daemon -> {
             socket.send(daemon.peerAddress(), datagram);
             if (!peers.isHeard(daemon.id(), now)) {
                 forget(daemon.id());
@@ -152,7 +152,7 @@
                 .peer(peer, new PeerLoad(0, 0, 0)));
     }
 
-    private Gossip message() {
+    private Gossip message(int times) {
         Gossip.Builder gossip = Gossip.newBuilder()
                 .setInstance(self.id().value())
                 .setBornMillis(self.bornMillis())
@@ -166,20 +166,23 @@
                                 .setWindow(window)
                                 .setAccount(account.value())
                                 .setCount(count))));
-        suspects.takeFresh((request, crashes) -> gossip.addCrashes(
-                CrashedRequest.newBuilder().setFingerprint(request.value()).setCrashes(crashes)));
+        suspects.tell(
+                times,
+                (request, crashes) -> gossip.addCrashes(CrashedRequest.newBuilder()
+                        .setFingerprint(request.value())
+                        .setCrashes(crashes)));
         changing.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         demands.eachOwn((pool, tokens) -> gossip.addReadings(
                 PoolReading.newBuilder().setPool(pool.value()).setTokens(tokens)));
-        fleet.all().forEach(state -> addLoad(gossip, state));
+        fleet.all().forEach(state -> addLoad(gossip, state, times));
         return gossip.build();
     }
 
-    private static void addLoad(Gossip.Builder gossip, EndpointState state) {
+    private static void addLoad(Gossip.Builder gossip, EndpointState state, int times) {
         if (state.engine() == null) {
             return;
         }
-        List<PromptPart> parts = state.takeSentParts();
+        List<PromptPart> parts = state.sentParts(times);
         if (state.engine().ownRunning() == 0 && parts.isEmpty()) {
             return;
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Suspects.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Suspects.java
@@ -2,13 +2,10 @@
 
 import io.netty.buffer.ByteBufUtil;
 import java.lang.System.Logger;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.function.BiConsumer;
 import org.ragwortpitch.contract.Headers;
 import org.ragwortpitch.edge.front.CallerRequest;
+import org.ragwortpitch.edge.peer.Retold;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.suspect.Fingerprint;
 import org.ragwortpitch.suspect.SuspectBook;
@@ -32,7 +29,7 @@
     private static final int REFUSED_AT = 3;
 
     private final SuspectBook book = new SuspectBook(REFUSED_AT);
-    private final Map<Fingerprint, Integer> fresh = new HashMap<>();
+    private final Retold<Crash> fresh = new Retold<>(MAX_TOLD);
 
     /**
      * Recognises a request.
@@ -47,7 +44,7 @@
      */
     void crashed(Fingerprint request, String attemptId, long nowMillis) {
         int crashes = book.crashed(request, nowMillis);
-        fresh.put(request, crashes);
+        fresh.add(new Crash(request, crashes));
         Event.of("suspect")
                 .with("request", attemptId)
                 .with("fingerprint", request.value())
@@ -77,16 +74,16 @@
     }
 
     /**
-     * Hands out the crashes that were noted since the last time.
+     * Hands out the crashes that were noted lately, for the next datagrams to other daemons.
+     *
+     * @param times how often each is told
      */
-    void takeFresh(BiConsumer<Fingerprint, Integer> consumer) {
-        List<Fingerprint> told = new ArrayList<>();
-        for (Map.Entry<Fingerprint, Integer> entry : fresh.entrySet()) {
-            if (told.size() < MAX_TOLD) {
-                consumer.accept(entry.getKey(), entry.getValue());
-                told.add(entry.getKey());
-            }
-        }
-        told.forEach(fresh::remove);
+    void tell(int times, BiConsumer<Fingerprint, Integer> consumer) {
+        fresh.next(times).forEach(crash -> consumer.accept(crash.request(), crash.crashes()));
     }
+
+    /**
+     * How many crashes a request was under way at.
+     */
+    private record Crash(Fingerprint request, int crashes) {}
 }
