Count usage by the time that most daemons' clocks show

Ruled out: correcting by the store's time: its answers bear none. Change: daemons tell what their clocks show; each corrects its own by the median. A step of the own clock, or a freeze, forgets the others' word until the next round. A life that began with the clock set back is heard (it was ignored for good before); its spending counts. The three tests failed first.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.ragwortpitch.clock.AgreedClock;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.contract.DirectoryForm;
 import org.ragwortpitch.contract.InstanceSettings;
@@ -91,6 +92,7 @@
     private final Daemon self;
     private final LongSupplier clockMillis;
     private final LongSupplier wallMillis;
+    private final AgreedClock agreed;
     private final EdgeMetrics metrics = new EdgeMetrics();
     private final EventLoop trafficLoop;
     private final EventLoop controlLoop;
@@ -122,6 +124,7 @@
         this.bounds = settings.bounds();
         this.clockMillis = clockMillis;
         this.wallMillis = wallMillis;
+        this.agreed = new AgreedClock(clockMillis.getAsLong(), wallMillis.getAsLong());
         trafficLoop = loop();
         controlLoop = loop();
         usage = new WindowCounts(bounds.usageWindowMillis());
@@ -141,7 +144,18 @@
                 text(front.address()),
                 text(socket.address()));
         gossiper = new Gossiper(
-                self, socket, peers, fleet, accounts, demands, suspects, usage, this::isReady, clockMillis);
+                self,
+                socket,
+                peers,
+                fleet,
+                accounts,
+                demands,
+                suspects,
+                usage,
+                this::isReady,
+                agreed,
+                clockMillis,
+                wallMillis);
         ready = small(settings.readyAddress(), query -> readiness());
         directory = small(settings.directoryAddress(), this::directory);
         small(
@@ -154,7 +168,7 @@
         return new TrafficParts(
                 trafficLoop,
                 clockMillis,
-                wallMillis,
+                this::agreedMillis,
                 settings.domain(),
                 connections,
                 fleet,
@@ -176,7 +190,12 @@
                 new ToTraffic(),
                 metrics,
                 clockMillis,
-                wallMillis);
+                wallMillis,
+                this::agreedMillis);
+    }
+
+    private long agreedMillis() {
+        return wallMillis.getAsLong() + agreed.correctionMillis();
     }
 
     private SmallServer small(String address, Function<QueryStringDecoder, SmallAnswer> answers) {
@@ -200,10 +219,7 @@
         trafficLoop.scheduleWithFixedDelay(
                 gossiper::tell, GossipRound.STEP_MILLIS, GossipRound.STEP_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
-                () -> handOver(usage.takeEnded(wallMillis.getAsLong())),
-                USAGE_MILLIS,
-                USAGE_MILLIS,
-                TimeUnit.MILLISECONDS);
+                () -> handOver(usage.takeEnded(agreedMillis())), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(this::tellDemand, DEMAND_MILLIS, DEMAND_MILLIS, TimeUnit.MILLISECONDS);
         controlLoop.execute(control::start);
         Event started = Event.of("started").with("born", self.bornMillis());
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -61,6 +61,9 @@
 
     /**
      * Prepares to follow the store.
+     *
+     * @param wallMillis   this instance's wall clock
+     * @param agreedMillis the wall clock as most daemons' clocks show it
      */
     public Control(
             EventLoop loop,
@@ -70,7 +73,8 @@
             ControlListener listener,
             EdgeMetrics metrics,
             LongSupplier clockMillis,
-            LongSupplier wallMillis) {
+            LongSupplier wallMillis,
+            LongSupplier agreedMillis) {
         this.loop = loop;
         this.settings = settings;
         this.self = self;
@@ -85,10 +89,10 @@
                 new LeaseClock(clockMillis, wallMillis),
                 settings.bounds().leaseMillis(),
                 settings.bounds().fenced(),
-                duty(caller, clockMillis, wallMillis));
+                duty(caller, clockMillis, agreedMillis));
     }
 
-    private Duty duty(HttpCaller caller, LongSupplier clockMillis, LongSupplier wallMillis) {
+    private Duty duty(HttpCaller caller, LongSupplier clockMillis, LongSupplier agreedMillis) {
         if (settings.cloud().isEmpty()) {
             return (token, refused) -> {};
         }
@@ -103,7 +107,7 @@
         RoleDesk roles = new RoleDesk(caller, self.id(), clockMillis);
         return (token, refused) -> {
             reporter.told(told);
-            reporter.step(token, wallMillis.getAsLong(), lives(), refused);
+            reporter.step(token, agreedMillis.getAsLong(), lives(), refused);
             if (deployment != null) {
                 deployment.pools().forEach(pool -> stepEngines(token, pool, fleet, roles));
             }
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -19,6 +19,9 @@
     /** The same where rounds are long, in rounds. */
     private static final int SILENT_ROUNDS = 4;
 
+    /** How long a datagram may be under way, in milliseconds; an instance takes longer to start anew. */
+    private static final long UNDER_WAY_MILLIS = 1_000;
+
     private final Map<InstanceId, Heard> heard = new HashMap<>();
     private final GossipRound round = new GossipRound();
     private Map<InstanceId, Daemon> listed = new HashMap<>();
@@ -40,15 +43,20 @@
      */
     public boolean hear(InstanceId peer, long bornMillis, long sequence, boolean ready, long nowMillis) {
         Heard before = heard.get(peer);
-        if (before != null
-                && (before.bornMillis() > bornMillis
-                        || before.bornMillis() == bornMillis && before.sequence() >= sequence)) {
+        if (before != null && isOlder(bornMillis, sequence, nowMillis, before)) {
             return false;
         }
         heard.put(peer, new Heard(bornMillis, sequence, ready, nowMillis));
         return true;
     }
 
+    /** The clock may have been set back between two lives, so their order shows only while the first may be under way. */
+    private static boolean isOlder(long bornMillis, long sequence, long nowMillis, Heard before) {
+        return before.bornMillis() == bornMillis
+                ? before.sequence() >= sequence
+                : before.bornMillis() > bornMillis && nowMillis - before.atMillis() <= UNDER_WAY_MILLIS;
+    }
+
     /**
      * Tells the daemons to tell something next, and how often each datagram's news are told.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.ragwortpitch.clock.AgreedClock;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.PromptPart;
 import org.ragwortpitch.edge.peer.GossipSocket;
@@ -45,14 +46,18 @@
     private final WindowCounts usage;
     private final PeerCounts counts = new PeerCounts();
     private final BooleanSupplier ready;
+    private final AgreedClock agreed;
     private final LongSupplier clockMillis;
+    private final LongSupplier wallMillis;
     private Collection<EndpointId> changing = List.of();
     private long sequence;
 
     /**
      * Makes a gossiper.
      *
-     * @param ready whether this daemon takes callers, as of now
+     * @param ready      whether this daemon takes callers, as of now
+     * @param agreed     learns what the clocks of others show
+     * @param wallMillis this instance's wall clock, uncorrected
      */
     public Gossiper(
             Daemon self,
@@ -64,7 +69,9 @@
             Suspects suspects,
             WindowCounts usage,
             BooleanSupplier ready,
-            LongSupplier clockMillis) {
+            AgreedClock agreed,
+            LongSupplier clockMillis,
+            LongSupplier wallMillis) {
         this.self = self;
         this.socket = socket;
         this.peers = peers;
@@ -74,7 +81,9 @@
         this.suspects = suspects;
         this.usage = usage;
         this.ready = ready;
+        this.agreed = agreed;
         this.clockMillis = clockMillis;
+        this.wallMillis = wallMillis;
     }
 
     /**
@@ -82,6 +91,7 @@
      */
     public void tell() {
         long now = clockMillis.getAsLong();
+        agreed.advance(now, wallMillis.getAsLong());
         byte[] datagram = message(peers.round().steps()).toByteArray();
         peers.round().step().forEach(daemon -> {
             socket.send(daemon.peerAddress(), datagram);
@@ -102,6 +112,7 @@
                 || !peers.hear(peer, gossip.getBornMillis(), gossip.getSequence(), gossip.getReady(), now)) {
             return;
         }
+        agreed.heard(peer, gossip.getWallMillis(), now, wallMillis.getAsLong());
         for (AccountSpend spend : gossip.getSpendsList()) {
             accounts.peerSpent(peer, gossip.getBornMillis(), new AccountId(spend.getAccount()), spend.getTokens(), now);
         }
@@ -157,7 +168,8 @@
                 .setInstance(self.id().value())
                 .setBornMillis(self.bornMillis())
                 .setSequence(++sequence)
-                .setReady(ready.getAsBoolean());
+                .setReady(ready.getAsBoolean())
+                .setWallMillis(wallMillis.getAsLong());
         accounts.eachSpent((account, tokens) -> gossip.addSpends(
                 AccountSpend.newBuilder().setAccount(account.value()).setTokens(tokens)));
         usage.recent()
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficParts.java
@@ -12,7 +12,7 @@
  *
  * @param loop        the traffic thread
  * @param clockMillis the monotonic clock, in milliseconds
- * @param wallMillis  the wall clock, in milliseconds since 1970
+ * @param wallMillis  the wall clock as most daemons' clocks show it, in milliseconds since 1970
  * @param domain      this daemon's failure domain
  */
 public record TrafficParts(
--- a/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
@@ -61,5 +61,13 @@
         assertFalse(view.hear(A, 2, 4, false, 1));
         assertFalse(view.hear(A, 1, 9, false, 1));
         assertTrue(view.hear(A, 3, 1, true, 1));
+        assertFalse(view.hear(A, 2, 6, true, 1_000));
+    }
+
+    @Test
+    void testLifeIsHeardThoughTheClockWasSetBackBeforeIt() {
+        assertTrue(view.hear(A, 5_000, 9, true, 0));
+        assertTrue(view.hear(A, 3_000, 1, true, 1_001));
+        assertTrue(view.hear(A, 3_000, 2, true, 1_050));
     }
 }
--- a/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
+++ b/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
@@ -77,15 +77,12 @@
     /**
      * Debits what another daemon has let through since the last time.
      *
-     * @param bornMillis  which life of the daemon tells it
+     * @param bornMillis  which life of the daemon tells it; words of a former one mustn't come any more
      * @param totalTokens what it has let through in that life
      */
     public void peerSpent(InstanceId peer, long bornMillis, long totalTokens, long nowMillis) {
         refill(nowMillis);
         PeerTotal known = peers.get(peer);
-        if (known != null && known.bornMillis() > bornMillis) {
-            return;
-        }
         boolean sameLife = known != null && known.bornMillis() == bornMillis;
         // The first word of a life that began before this daemon knew of it tells nothing of when it was spent.
         long before = sameLife ? known.totalTokens() : totalTokens;
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/clock/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What time it is where the clocks of instances differ.
+ */
+package org.ragwortpitch.clock;
--- a/policy/src/test/java/org/ragwortpitch/allowance/SharedBucketTest.java
+++ b/policy/src/test/java/org/ragwortpitch/allowance/SharedBucketTest.java
@@ -49,6 +49,14 @@
         assertTrue(bucket.trySpend(1, 0));
     }
 
+    @Test
+    void testSpendingCountsOfALifeThatBeganWithTheClockSetBack() {
+        bucket.peerSpent(PEER, 5, 0, 0);
+        bucket.peerSpent(PEER, 3, 0, 0);
+        bucket.peerSpent(PEER, 3, 2_500, 0);
+        assertFalse(bucket.trySpend(1, 400));
+    }
+
     @Test
     void testSilentPeersLowerTheRate() {
         bucket.trySpend(2_000, 0);
