--- a/scenarios/src/test/resources/scenarios/traffic.feature
+++ b/scenarios/src/test/resources/scenarios/traffic.feature
@@ -28,7 +28,6 @@
     When a caller vanishes amid a stream of 5000 tokens
     Then within 3000 ms the endpoints have stopped its work
 
-  @known-red
   Scenario: Every daemon is replaced gracefully under traffic
     Given 3 daemons in force
     When each daemon in turn is replaced gracefully under traffic
