Tell other failure domains by one daemon each, in sums

Ruled out: slower rounds between domains only: what is spent and under way there would be known seconds late. Change: in fleets of more than 20 daemons, daemons tell those of their domain directly; the first of them by name that is heard of tells the other domains what all of its own have spent, have had read and have under way, as sums. Sums of another such daemon start anew, like those of another life, so nothing counts twice. Daemons' entries are read at most twice a second.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -37,6 +37,7 @@
 import org.ragwortpitch.edge.traffic.Demands;
 import org.ragwortpitch.edge.traffic.Fleet;
 import org.ragwortpitch.edge.traffic.Gateway;
+import org.ragwortpitch.edge.traffic.GossipParts;
 import org.ragwortpitch.edge.traffic.Gossiper;
 import org.ragwortpitch.edge.traffic.RepeatBudgets;
 import org.ragwortpitch.edge.traffic.Suspects;
@@ -98,7 +99,7 @@
     private final EventLoop controlLoop;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final WindowCounts usage;
-    private final PeerView peers = new PeerView();
+    private final PeerView peers;
     private final Accounts accounts;
     private final Demands demands = new Demands();
     private final Suspects suspects = new Suspects();
@@ -125,6 +126,7 @@
         this.clockMillis = clockMillis;
         this.wallMillis = wallMillis;
         this.agreed = new AgreedClock(clockMillis.getAsLong(), wallMillis.getAsLong());
+        this.peers = new PeerView(settings.instance(), settings.domain());
         trafficLoop = loop();
         controlLoop = loop();
         usage = new WindowCounts(bounds.usageWindowMillis());
@@ -143,19 +145,7 @@
                 settings.domain(),
                 text(front.address()),
                 text(socket.address()));
-        gossiper = new Gossiper(
-                self,
-                socket,
-                peers,
-                fleet,
-                accounts,
-                demands,
-                suspects,
-                usage,
-                this::isReady,
-                agreed,
-                clockMillis,
-                wallMillis);
+        gossiper = new Gossiper(gossipParts(), socket::send);
         ready = small(settings.readyAddress(), query -> readiness());
         directory = small(settings.directoryAddress(), this::directory);
         small(
@@ -164,6 +154,11 @@
         control = control();
     }
 
+    private GossipParts gossipParts() {
+        return new GossipParts(
+                self, peers, fleet, accounts, demands, suspects, usage, this::isReady, agreed, clockMillis, wallMillis);
+    }
+
     private TrafficParts parts(ConnectionPool connections) {
         return new TrafficParts(
                 trafficLoop,
@@ -380,7 +375,7 @@
 
         @Override
         public void onDaemons(Collection<Daemon> daemons) {
-            trafficLoop.execute(() -> peers.apply(daemons));
+            trafficLoop.execute(() -> gossiper.apply(daemons));
         }
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -44,6 +44,9 @@
     /** Reads of the endpoints' entries in the time to act on one: one may fail; each has a price. */
     private static final int ENDPOINT_READS = 3;
 
+    /** The pause between reads of the daemons' entries, in milliseconds: a fleet that starts lists itself at once. */
+    private static final long DAEMONS_PACE_MILLIS = 500;
+
     private static final long RETRY_MILLIS = 500;
 
     private final EventLoop loop;
@@ -142,7 +145,7 @@
         list();
         follow(StoreForm.OPERATORS_TOPIC, 0, WAIT_MILLIS, this::deployments);
         follow(StoreForm.ENDPOINTS_TOPIC, settings.bounds().drainMillis() / ENDPOINT_READS, 0, this::endpoints);
-        follow(DaemonForm.TOPIC, 0, WAIT_MILLIS, this::daemons);
+        follow(DaemonForm.TOPIC, DAEMONS_PACE_MILLIS, WAIT_MILLIS, this::daemons);
         loop.scheduleWithFixedDelay(this::dropMissing, RETRY_MILLIS, RETRY_MILLIS, TimeUnit.MILLISECONDS);
         duties.start();
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/GossipRound.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/GossipRound.java
@@ -14,17 +14,24 @@
     /** The pause between steps, in milliseconds: spreads a round, so that its datagrams don't queue at the link. */
     public static final long STEP_MILLIS = 50;
 
-    /** The shortest round, in milliseconds: how old the word of another daemon usually gets. */
-    private static final long SHORTEST_MILLIS = 200;
-
-    /** Datagrams a second of one daemon: 1 KB each, 1.2 Mbit/s of the slowest link of 7 Mbit/s. */
-    private static final int DATAGRAMS_PER_SECOND = 150;
-
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    private final long shortestMillis;
+    private final int datagramsPerSecond;
     private List<Daemon> daemons = List.of();
     private int step;
 
+    /**
+     * Makes a round without anybody.
+     *
+     * @param shortestMillis     the shortest round, in milliseconds: how old the word of another daemon usually gets
+     * @param datagramsPerSecond what this daemon sends at most
+     */
+    public GossipRound(long shortestMillis, int datagramsPerSecond) {
+        this.shortestMillis = shortestMillis;
+        this.datagramsPerSecond = datagramsPerSecond;
+    }
+
     /**
      * Takes a new list over.
      */
@@ -38,7 +45,7 @@
      * Tells how long a round lasts, in milliseconds.
      */
     public long millis() {
-        return Math.max(SHORTEST_MILLIS, daemons.size() * MILLIS_PER_SECOND / DATAGRAMS_PER_SECOND);
+        return Math.max(shortestMillis, daemons.size() * MILLIS_PER_SECOND / datagramsPerSecond);
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Accounts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Accounts.java
@@ -18,6 +18,7 @@
     private static final double FILLED_AT_RESTART = 0.25;
 
     private final Map<AccountId, SharedBucket> buckets = new HashMap<>();
+    private final Map<AccountId, Long> nearSpent = new HashMap<>();
     private final double filled;
     private double share = 1;
 
@@ -95,6 +96,23 @@
         }
     }
 
+    /**
+     * Takes over what a daemon of the same failure domain has let through.
+     */
+    public void nearSpent(InstanceId peer, long bornMillis, AccountId account, long tokens, long nowMillis) {
+        SharedBucket bucket = buckets.get(account);
+        if (bucket != null) {
+            nearSpent.merge(account, bucket.peerSpent(peer, bornMillis, tokens, nowMillis), Long::sum);
+        }
+    }
+
+    /**
+     * Tells what the daemons of this failure domain have let through, as far as this daemon has heard.
+     */
+    public void eachSpentInDomain(BiConsumer<AccountId, Long> consumer) {
+        eachSpent((account, tokens) -> consumer.accept(account, tokens + nearSpent.getOrDefault(account, 0L)));
+    }
+
     /**
      * Tells what this daemon has let through.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Demands.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Demands.java
@@ -15,6 +15,7 @@
 public final class Demands {
 
     private final Map<PoolId, DemandMeter> meters = new HashMap<>();
+    private final Map<PoolId, Long> nearRead = new HashMap<>();
 
     void read(PoolId pool, long tokens) {
         meter(pool).read(tokens);
@@ -24,6 +25,20 @@
         meter(pool).peer(peer, bornMillis, tokens);
     }
 
+    /**
+     * Takes over what a daemon of the same failure domain has had read.
+     */
+    void near(InstanceId peer, long bornMillis, PoolId pool, long tokens) {
+        nearRead.merge(pool, meter(pool).peer(peer, bornMillis, tokens), Long::sum);
+    }
+
+    /**
+     * Tells what the daemons of this failure domain have had read, as far as this daemon has heard.
+     */
+    void eachOfDomain(BiConsumer<PoolId, Long> consumer) {
+        eachOwn((pool, tokens) -> consumer.accept(pool, tokens + nearRead.getOrDefault(pool, 0L)));
+    }
+
     void eachOwn(BiConsumer<PoolId, Long> consumer) {
         meters.forEach((pool, meter) -> consumer.accept(pool, meter.ownTokens()));
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -22,6 +22,7 @@
     static final long SETTLING_MILLIS = 1_500;
 
     private final Retold<PromptPart> sentParts = new Retold<>(MAX_SENT_PARTS);
+    private final Retold<PromptPart> domainSentParts = new Retold<>(MAX_SENT_PARTS);
     private final HealthScore health = new HealthScore();
     private final Engine engine;
     private Endpoint endpoint;
@@ -82,6 +83,7 @@
     void sentParts(List<PromptPart> parts) {
         engine.cache().sent(parts);
         parts.forEach(sentParts::add);
+        parts.forEach(domainSentParts::add);
     }
 
     /**
@@ -93,6 +95,23 @@
         return sentParts.next(times);
     }
 
+    /**
+     * Notes that an engine gets a prompt from another daemon that tells this one directly.
+     */
+    void nearSentParts(List<PromptPart> parts) {
+        engine.cache().sent(parts);
+        parts.forEach(domainSentParts::add);
+    }
+
+    /**
+     * Tells the parts that the daemons of this failure domain sent there lately.
+     *
+     * @param times how often each part is told
+     */
+    List<PromptPart> domainSentParts(int times) {
+        return domainSentParts.next(times);
+    }
+
     int running() {
         return running;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Suspects.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Suspects.java
@@ -30,6 +30,7 @@
 
     private final SuspectBook book = new SuspectBook(REFUSED_AT);
     private final Retold<Crash> fresh = new Retold<>(MAX_TOLD);
+    private final Retold<Crash> domainFresh = new Retold<>(MAX_TOLD);
 
     /**
      * Recognises a request.
@@ -45,6 +46,7 @@
     void crashed(Fingerprint request, String attemptId, long nowMillis) {
         int crashes = book.crashed(request, nowMillis);
         fresh.add(new Crash(request, crashes));
+        domainFresh.add(new Crash(request, crashes));
         Event.of("suspect")
                 .with("request", attemptId)
                 .with("fingerprint", request.value())
@@ -73,6 +75,23 @@
         book.learn(request, crashes, nowMillis);
     }
 
+    /**
+     * Takes over what a daemon of the same failure domain tells, and what other domains are to know too.
+     */
+    void learnNear(Fingerprint request, int crashes, long nowMillis) {
+        learn(request, crashes, nowMillis);
+        domainFresh.add(new Crash(request, crashes));
+    }
+
+    /**
+     * Hands out the crashes that the daemons of this failure domain noted lately.
+     *
+     * @param times how often each is told
+     */
+    void tellOfDomain(int times, BiConsumer<Fingerprint, Integer> consumer) {
+        domainFresh.next(times).forEach(crash -> consumer.accept(crash.request(), crash.crashes()));
+    }
+
     /**
      * Hands out the crashes that were noted lately, for the next datagrams to other daemons.
      *
--- a/edge/src/test/java/org/ragwortpitch/edge/peer/GossipRoundTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/peer/GossipRoundTest.java
@@ -21,7 +21,7 @@
     /** The datagrams of a second that the slowest link of the users' grown fleets bears beside its traffic. */
     private static final int MOST_A_SECOND = 160;
 
-    private final GossipRound round = new GossipRound();
+    private final GossipRound round = new GossipRound(200, 150);
 
     private static List<Daemon> daemons(int count) {
         return IntStream.range(0, count)
--- a/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
@@ -21,7 +21,7 @@
 
     private static final InstanceId B = new InstanceId("b");
 
-    private final PeerView view = new PeerView();
+    private final PeerView view = new PeerView(new InstanceId("self"), NEAR);
 
     private void listBoth() {
         view.apply(List.of(
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -0,0 +1,203 @@
+package org.ragwortpitch.edge.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.ragwortpitch.clock.AgreedClock;
+import org.ragwortpitch.configuration.EndpointRole;
+import org.ragwortpitch.deployment.AccountSpec;
+import org.ragwortpitch.deployment.CallerLimits;
+import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.deployment.Deployment;
+import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.EngineSpec;
+import org.ragwortpitch.deployment.Pool;
+import org.ragwortpitch.deployment.PromptPart;
+import org.ragwortpitch.edge.peer.GossipRound;
+import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.ledger.WindowCounts;
+import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
+
+/**
+ * Tests what daemons of two failure domains learn of each other in a fleet whose domains tell each other by one daemon
+ * each.
+ */
+class GossiperTest {
+
+    private static final AccountId FAMILIES = new AccountId("families");
+
+    private static final EndpointId ENGINE = new EndpointId("i-1");
+
+    private static final PoolId POOL = new PoolId("llm");
+
+    private static final long SECOND_MILLIS = 1_000;
+
+    private final Map<String, Member> members = new TreeMap<>();
+    private long nowMillis = 1_000;
+    private int betweenDomains;
+
+    @BeforeEach
+    void startAll() {
+        for (String name : List.of("a1", "a2", "b1", "b2")) {
+            members.put(name, new Member(name));
+        }
+        members.values().forEach(Member::learnOthers);
+        pass(2 * SECOND_MILLIS);
+    }
+
+    private void pass(long millis) {
+        for (long end = nowMillis + millis; nowMillis < end; nowMillis += GossipRound.STEP_MILLIS) {
+            members.values().forEach(member -> member.gossiper.tell());
+        }
+    }
+
+    @Test
+    void testSpendingInOneDomainCountsInTheOther() {
+        assertEquals(0, members.get("a2").spend(50));
+        assertEquals(0, members.get("a1").spend(60));
+        pass(SECOND_MILLIS);
+        assertTrue(members.get("b2").spend(1) > 0, "the burst of 100 is spent");
+    }
+
+    @Test
+    void testSpendingCountsOnceThoughAnotherDaemonTellsOfTheDomain() {
+        members.get("a1").spend(40);
+        pass(SECOND_MILLIS);
+        members.remove("a1");
+        pass(4 * SECOND_MILLIS);
+        assertEquals(0, members.get("a2").spend(30));
+        pass(SECOND_MILLIS);
+        assertEquals(0, members.get("b1").spend(20));
+        pass(SECOND_MILLIS);
+        assertEquals(0, members.get("b2").spend(1), "100 less 40, 30 and 20");
+    }
+
+    @Test
+    void testLoadOfOneDomainIsKnownInTheOtherUntilItIsSilent() {
+        Member teller = members.get("a2");
+        teller.engine().begin(500, 400);
+        teller.state().sentParts(List.of(new PromptPart(7, 300)));
+        pass(SECOND_MILLIS);
+        Member other = members.get("b2");
+        assertEquals(1, other.engine().totalRunning());
+        assertEquals(400, other.engine().totalReadingTokens());
+        assertEquals(300, other.engine().cache().keptTokens(List.of(new PromptPart(7, 300))));
+        members.remove("a1");
+        pass(SECOND_MILLIS);
+        assertEquals(1, other.engine().totalRunning());
+        members.remove("a2");
+        pass(4 * SECOND_MILLIS);
+        assertEquals(0, other.engine().totalRunning());
+    }
+
+    @Test
+    void testDaemonsOfAnotherDomainTakeCallersWhileTheyAreHeardOfThere() {
+        FailureDomain domain = new FailureDomain("a");
+        assertEquals(2, namedIn("b1", domain));
+        members.remove("a2");
+        pass(5 * SECOND_MILLIS);
+        assertEquals(1, namedIn("b1", domain));
+    }
+
+    @Test
+    void testOnlyOneDaemonOfADomainTellsTheOthers() {
+        betweenDomains = 0;
+        pass(5 * SECOND_MILLIS);
+        assertEquals(2 * 2 * 10, betweenDomains, "two domains, two daemons, every half second");
+        assertFalse(members.get("a2").peers.isRelay(nowMillis));
+    }
+
+    private long namedIn(String asked, FailureDomain domain) {
+        return members.get(asked).peers.ready(domain, nowMillis).stream()
+                .filter(daemon -> daemon.domain().equals(domain))
+                .count();
+    }
+
+    /**
+     * A daemon without sockets.
+     */
+    private final class Member {
+
+        private final Daemon self;
+        private final PeerView peers;
+        private final Accounts accounts = new Accounts(true);
+        private final Fleet fleet = new Fleet(address -> {});
+        private final Gossiper gossiper;
+
+        Member(String name) {
+            self = new Daemon(new InstanceId(name), 1, new FailureDomain(name.substring(0, 1)), name, name);
+            peers = new PeerView(self.id(), self.domain(), 2);
+            Deployment deployment = new Deployment(
+                    1,
+                    List.of(),
+                    List.of(new Pool(POOL, 10, Optional.of(new EngineSpec(64, 500_000, 1, 1, 1, 1)), Optional.empty())),
+                    List.of(new AccountSpec(FAMILIES, OptionalInt.empty(), 1, 100, 1)),
+                    Map.of(),
+                    CallerLimits.DEFAULT);
+            accounts.apply(deployment, nowMillis);
+            Endpoint engine = new Endpoint(
+                    ENGINE, POOL, "e", self.domain(), 64, false, EndpointRole.DECODE, 1, false, OptionalLong.empty());
+            fleet.apply(List.of(engine), deployment, nowMillis);
+            GossipParts parts = new GossipParts(
+                    self,
+                    peers,
+                    fleet,
+                    accounts,
+                    new Demands(),
+                    new Suspects(),
+                    new WindowCounts(5_000),
+                    () -> true,
+                    new AgreedClock(nowMillis, nowMillis),
+                    () -> nowMillis,
+                    () -> nowMillis);
+            gossiper = new Gossiper(parts, this::send);
+        }
+
+        void learnOthers() {
+            List<Daemon> others = new ArrayList<>();
+            members.values().stream().filter(member -> member != this).forEach(member -> others.add(member.self));
+            gossiper.apply(others);
+        }
+
+        private void send(String address, byte[] datagram) {
+            Member to = members.get(address);
+            if (to == null) {
+                return;
+            }
+            betweenDomains += to.self.domain().equals(self.domain()) ? 0 : 1;
+            try {
+                to.gossiper.heard(Gossip.parseFrom(datagram));
+            } catch (InvalidProtocolBufferException exception) {
+                throw new IllegalStateException(exception);
+            }
+        }
+
+        long spend(long tokens) {
+            return accounts.spend(FAMILIES, tokens, nowMillis);
+        }
+
+        EndpointState state() {
+            return fleet.find(ENGINE);
+        }
+
+        org.ragwortpitch.placement.Engine engine() {
+            return state().engine();
+        }
+    }
+}
--- a/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
+++ b/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
@@ -1,8 +1,7 @@
 package org.ragwortpitch.allowance;
 
-import java.util.HashMap;
-import java.util.Map;
 import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.ledger.PeerTotals;
 
 /**
  * A token bucket that all daemons spend from. Each keeps the whole bucket, debits what it lets through itself, and what
@@ -13,7 +12,7 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private final Map<InstanceId, PeerTotal> peers = new HashMap<>();
+    private final PeerTotals peers = new PeerTotals();
     private double tokensPerSecond;
     private double burstTokens;
     private double level;
@@ -79,15 +78,13 @@
      *
      * @param bornMillis  which life of the daemon tells it; words of a former one mustn't come any more
      * @param totalTokens what it has let through in that life
+     * @return what it has let through since its last word
      */
-    public void peerSpent(InstanceId peer, long bornMillis, long totalTokens, long nowMillis) {
+    public long peerSpent(InstanceId peer, long bornMillis, long totalTokens, long nowMillis) {
         refill(nowMillis);
-        PeerTotal known = peers.get(peer);
-        boolean sameLife = known != null && known.bornMillis() == bornMillis;
-        // The first word of a life that began before this daemon knew of it tells nothing of when it was spent.
-        long before = sameLife ? known.totalTokens() : totalTokens;
-        level = Math.max(-burstTokens, Math.min(burstTokens, level - (totalTokens - before)));
-        peers.put(peer, new PeerTotal(bornMillis, totalTokens));
+        long addedTokens = peers.advance(peer, bornMillis, totalTokens);
+        level = Math.max(-burstTokens, Math.min(burstTokens, level - addedTokens));
+        return addedTokens;
     }
 
     /**
@@ -115,9 +112,4 @@
         level = Math.min(burstTokens, level + refilled);
         promisedTokens = Math.max(0, promisedTokens - refilled);
     }
-
-    /**
-     * What a daemon has let through in one life.
-     */
-    private record PeerTotal(long bornMillis, long totalTokens) {}
 }
--- a/policy/src/main/java/org/ragwortpitch/placement/Engine.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/Engine.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.EngineSpec;
 import org.ragwortpitch.identity.InstanceId;
@@ -131,24 +132,20 @@
     }
 
     /**
-     * Tells the requests under way of this daemon.
+     * Tells what this daemon and some of the others have there together.
      */
-    public int ownRunning() {
-        return running;
-    }
-
-    /**
-     * Tells the memory that this daemon's requests need.
-     */
-    public long ownHeldTokens() {
-        return heldTokens;
-    }
-
-    /**
-     * Tells the tokens that this daemon's requests still have to be read.
-     */
-    public long ownReadingTokens() {
-        return readingTokens;
+    public PeerLoad load(Predicate<InstanceId> others) {
+        int allRunning = running;
+        long allHeldTokens = heldTokens;
+        long allReadingTokens = readingTokens;
+        for (Map.Entry<InstanceId, PeerLoad> peer : peers.entrySet()) {
+            if (others.test(peer.getKey())) {
+                allRunning += peer.getValue().running();
+                allHeldTokens += peer.getValue().heldTokens();
+                allReadingTokens += peer.getValue().readingTokens();
+            }
+        }
+        return new PeerLoad(allRunning, allHeldTokens, allReadingTokens);
     }
 
     /**
--- a/policy/src/main/java/org/ragwortpitch/scaling/DemandMeter.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/DemandMeter.java
@@ -2,9 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
 import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.ledger.PeerTotals;
 
 /**
  * Measures what is to be read for one pool: totals of this daemon and, as they tell them, of the others. Confined to
@@ -15,7 +14,7 @@
     /** The span over which rates are taken, in milliseconds: longer than clumps of requests, shorter than a swing. */
     private static final long SPAN_MILLIS = 2_500;
 
-    private final Map<InstanceId, PeerTotal> peers = new HashMap<>();
+    private final PeerTotals peers = new PeerTotals();
     private final Deque<Sample> samples = new ArrayDeque<>();
     private long ownTokens;
     private long allTokens;
@@ -32,12 +31,12 @@
      * Takes over another daemon's total.
      *
      * @param bornMillis the life of the daemon that the total belongs to
+     * @return what was added since its last word
      */
-    public void peer(InstanceId peer, long bornMillis, long totalTokens) {
-        PeerTotal before = peers.put(peer, new PeerTotal(bornMillis, totalTokens));
-        if (before != null && before.bornMillis() == bornMillis) {
-            allTokens += Math.max(0, totalTokens - before.totalTokens());
-        }
+    public long peer(InstanceId peer, long bornMillis, long totalTokens) {
+        long addedTokens = Math.max(0, peers.advance(peer, bornMillis, totalTokens));
+        allTokens += addedTokens;
+        return addedTokens;
     }
 
     /**
@@ -61,11 +60,6 @@
                 : (allTokens - first.tokens()) / (double) (nowMillis - first.atMillis());
     }
 
-    /**
-     * A daemon's total in one life.
-     */
-    private record PeerTotal(long bornMillis, long totalTokens) {}
-
     /**
      * The total at a time.
      */
