Soak daemons in processes of their own with random faults

Cause: the users ask for a soak of our own with the grown deployments. Change: module soak: three daemons as processes (one with a wall clock that is set to and fro), a proxy on each link to the store and the endpoints, faults drawn from a seed that overlap: kills, stops, pauses, cuts, silence, lost answers, delays, a store that is away, endpoints that refuse, break, fail, don't sign or fall silent, new versions, endpoints that leave. Each third seed plays planned work only. Checked from what callers and endpoints saw: once-only, refusals true, whole and signed answers, accounts, keys, tokens and reports of duties, no cut around planned work, no process that ends by itself, all served again within 12 s. Datagrams between daemons and links of callers have no proxy yet.

--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.ragwortpitch.contract.Headers;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.edge.front.CallerAnswer;
@@ -45,6 +46,7 @@
     private final List<HttpHeaders> runs = new CopyOnWriteArrayList<>();
     private final FrontServer server;
     private volatile Mode mode = Mode.GOOD;
+    private volatile long paceMillis;
 
     public StandinEndpoint(String id) {
         this.id = id;
@@ -60,6 +62,20 @@
         mode = newMode;
     }
 
+    /**
+     * Sets how long a plain answer, or each event, takes.
+     */
+    public void pace(long millis) {
+        paceMillis = millis;
+    }
+
+    /**
+     * Tells where it listens.
+     */
+    public int port() {
+        return server.address().getPort();
+    }
+
     /**
      * Tells the headers of the requests that it ran.
      */
@@ -73,9 +89,16 @@
      * @param stage prefill, decode, or empty for a plain service
      */
     public void list(StandinStore store, String pool, String stage, String state) {
-        String entry = "{\"Service\":\"" + pool + "\",\"Address\":\"127.0.0.1:"
-                + server.address().getPort() + "\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"" + state + "\",\"Stage\":\""
-                + stage + "\",\"Sequence\":1,\"born\":1}";
+        list(store, port(), pool, stage, state);
+    }
+
+    /**
+     * Lists itself behind a proxy.
+     */
+    public void list(StandinStore store, int port, String pool, String stage, String state) {
+        String entry = "{\"Service\":\"" + pool + "\",\"Address\":\"127.0.0.1:" + port
+                + "\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"" + state + "\",\"Stage\":\"" + stage
+                + "\",\"Sequence\":1,\"born\":1}";
         store.put("keyed.servers", "servers/" + id, entry);
     }
 
@@ -109,22 +132,34 @@
             answer.begin(200, headers);
             answer.abort();
         } else {
-            answer.whole(200, headers, text("done by " + id));
+            later(() -> answer.whole(200, headers, text("done by " + id)));
         }
     }
 
     private void stream(CallerRequest request, CallerAnswer answer, HttpHeaders headers) {
         answer.begin(200, headers);
         String last = request.headers().get(Headers.LAST_EVENT);
-        for (int event = last == null ? 1 : Integer.parseInt(last) + 1; event <= EVENTS; event++) {
-            if (mode == Mode.BREAKING && event == BROKEN_AT) {
-                answer.piece(text("id: " + event + "\nda"));
-                loops.loop().execute(answer::abort);
-                return;
-            }
+        event(answer, last == null ? 1 : Integer.parseInt(last) + 1);
+    }
+
+    private void event(CallerAnswer answer, int event) {
+        if (event > EVENTS) {
+            answer.end();
+        } else if (mode == Mode.BREAKING && event == BROKEN_AT) {
+            answer.piece(text("id: " + event + "\nda"));
+            loops.loop().execute(answer::abort);
+        } else {
             answer.piece(text("id: " + event + "\ndata: x\n\n"));
+            later(() -> event(answer, event + 1));
+        }
+    }
+
+    private void later(Runnable action) {
+        if (paceMillis == 0) {
+            action.run();
+        } else {
+            loops.loop().schedule(action, paceMillis, TimeUnit.MILLISECONDS);
         }
-        answer.end();
     }
 
     private static io.netty.buffer.ByteBuf text(String text) {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -1,5 +1,6 @@
 package org.ragwortpitch.edge.standin;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,6 +19,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.ragwortpitch.contract.FormException;
+import org.ragwortpitch.contract.Headers;
 import org.ragwortpitch.contract.KeyedRecord;
 import org.ragwortpitch.contract.StoreForm;
 import org.ragwortpitch.deployment.CallerLimits;
@@ -38,9 +40,12 @@
     private final Loops loops = new Loops();
     private final Map<String, List<byte[]>> topics = new HashMap<>();
     private final List<String> duties = new CopyOnWriteArrayList<>();
+    private final List<DutyCall> dutyCalls = new CopyOnWriteArrayList<>();
+    private final Map<String, Long> memberUntilMillis = new LinkedHashMap<>();
     private final FrontServer server;
     private volatile boolean down;
     private String holder;
+    private long generation;
 
     public StandinStore() {
         server = new FrontServer(
@@ -69,6 +74,13 @@
         return duties;
     }
 
+    /**
+     * Tells the calls for duties so far, with who made them.
+     */
+    public List<DutyCall> dutyCalls() {
+        return dutyCalls;
+    }
+
     /**
      * Writes a record as the operator or an endpoint does.
      */
@@ -92,10 +104,16 @@
                 case "/log-newest" -> json(answer, newest(field(query, "Topic")));
                 case "/log-append" -> json(answer, append(field(query, "Topic"), request.body()));
                 case "/log-join" -> json(answer, join(request));
-                case "/log-leave" -> json(answer, Map.of());
+                case "/log-leave" -> json(answer, leave(request));
                 case "/log-read" -> read(query, answer, Loops.CLOCK_MILLIS.getAsLong());
                 default -> {
-                    duties.add(request.path() + " " + request.body().toString(StandardCharsets.UTF_8));
+                    String body = request.body().toString(StandardCharsets.UTF_8);
+                    duties.add(request.path() + " " + body);
+                    dutyCalls.add(new DutyCall(
+                            request.path(),
+                            String.valueOf(request.headers().get(Headers.HOLDER)),
+                            String.valueOf(request.headers().get(Headers.FENCE)),
+                            body));
                     json(answer, Map.of());
                 }
             }
@@ -131,12 +149,25 @@
     }
 
     private Map<String, Object> join(CallerRequest request) throws IOException {
+        JsonNode asked = MAPPER.readTree(request.body().toString(StandardCharsets.UTF_8));
+        String member = asked.path("Member").asText();
+        long now = Loops.CLOCK_MILLIS.getAsLong();
+        memberUntilMillis.put(member, now + asked.path("TtlMs").asLong());
+        memberUntilMillis.values().removeIf(until -> until < now);
+        if (holder == null || !memberUntilMillis.containsKey(holder)) {
+            holder = member;
+            generation++;
+        }
+        List<Object> row = List.of("duties", 0, 0);
+        return Map.of("Generation", generation, "parts", holder.equals(member) ? List.of(row) : List.of());
+    }
+
+    private Map<String, Object> leave(CallerRequest request) throws IOException {
         String member = MAPPER.readTree(request.body().toString(StandardCharsets.UTF_8))
                 .path("Member")
                 .asText();
-        holder = holder == null ? member : holder;
-        List<Object> row = List.of("duties", 0, 0);
-        return Map.of("Generation", 1, "parts", holder.equals(member) ? List.of(row) : List.of());
+        memberUntilMillis.remove(member);
+        return Map.of();
     }
 
     private void read(QueryStringDecoder query, CallerAnswer answer, long askedMillis) {
@@ -161,6 +192,11 @@
         answer.whole(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(MAPPER.writeValueAsBytes(body)));
     }
 
+    /**
+     * A call for a duty.
+     */
+    public record DutyCall(String path, String holder, String token, String body) {}
+
     @Override
     public void close() {
         server.close();
--- /dev/null
+++ b/soak/src/test/java/org/ragwortpitch/soak/Caller.java
@@ -0,0 +1,87 @@
+package org.ragwortpitch.soak;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import java.util.function.Consumer;
+import org.ragwortpitch.contract.Headers;
+
+/**
+ * Asks one daemon after the other. It keeps its connections, and stays with a daemon until that can't be reached.
+ */
+final class Caller implements Runnable {
+
+    /** The routes, each as often as it stands here. */
+    private static final List<String> ROUTES = List.of("check", "check", "check", "book", "book", "ask", "ask", "once");
+
+    private static final long PAUSE_MILLIS = 15;
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(500))
+            .build();
+    private final Random random;
+    private final List<DaemonUnderTest> daemons;
+    private final Consumer<Outcome> outcomes;
+    private int daemon;
+    private volatile boolean stopped;
+
+    Caller(long seed, List<DaemonUnderTest> daemons, Consumer<Outcome> outcomes) {
+        this.random = new Random(seed);
+        this.daemons = daemons;
+        this.outcomes = outcomes;
+        this.daemon = random.nextInt(daemons.size());
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!stopped) {
+                Outcome outcome = ask(daemons.get(daemon), ROUTES.get(random.nextInt(ROUTES.size())));
+                outcomes.accept(outcome);
+                if (outcome.status() == 0 || outcome.status() == 503) {
+                    daemon = random.nextInt(daemons.size());
+                }
+                Thread.sleep(PAUSE_MILLIS);
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Outcome ask(DaemonUnderTest asked, String route) throws InterruptedException {
+        String attempt = UUID.randomUUID().toString();
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + asked.front() + "/" + route + "/x"))
+                .timeout(Duration.ofSeconds(6))
+                .header("Host", SoakWorld.HOST)
+                .header(Headers.AUTHORIZATION, "Bearer " + SoakWorld.KEY)
+                .header(Headers.ATTEMPT, attempt)
+                .header(Headers.DEADLINE, "3000")
+                .POST(HttpRequest.BodyPublishers.ofString("body of " + attempt));
+        if ("ask".equals(route) || "once".equals(route)) {
+            request.header(Headers.TOKENS, "400,5").header(Headers.PARTS, "a:300,b:100");
+        }
+        try {
+            HttpResponse<String> answer = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+            boolean signed = answer.headers().firstValue(Headers.SEAL).isPresent();
+            return new Outcome(
+                    attempt, route, asked.name(), answer.statusCode(), Optional.of(answer.body()), signed, false);
+        } catch (ConnectException exception) {
+            return new Outcome(attempt, route, asked.name(), 0, Optional.empty(), false, false);
+        } catch (IOException exception) {
+            return new Outcome(attempt, route, asked.name(), 0, Optional.empty(), false, true);
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/ragwortpitch/soak/SoakWorld.java
@@ -0,0 +1,120 @@
+package org.ragwortpitch.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.edge.standin.StandinEndpoint;
+import org.ragwortpitch.edge.standin.StandinStore;
+import org.ragwortpitch.standin.FaultProxy;
+
+/**
+ * Three daemons in three failure domains, the store, two plain endpoints and three engines, with a proxy on each link.
+ */
+final class SoakWorld implements AutoCloseable {
+
+    static final String HOST = "paws.example";
+
+    static final String KEY = "key";
+
+    private static final int DAEMONS = 3;
+
+    private static final int NETWORKS = 250;
+
+    private static final String DEPLOYMENT =
+            """
+            {"Version":%1$d,"Routes":[
+            {"Name":"ask","Host":"paws.example","PathPrefix":"/ask/","Kind":"streaming","TimeoutMs":2500,
+            "TargetLatencyMs":500,"Service":"llm","MaxAttempts":2,"AllowResume":true,"TargetGapMs":150},
+            {"Name":"once","Host":"paws.example","PathPrefix":"/once/","Kind":"streaming","TimeoutMs":2500,
+            "TargetLatencyMs":500,"Service":"llm","MaxAttempts":1,"TargetGapMs":150},
+            {"Name":"book","Host":"paws.example","PathPrefix":"/book/","Kind":"unsafe","TimeoutMs":800,
+            "TargetLatencyMs":100,"Service":"app","MaxAttempts":1},
+            {"Name":"added%1$d","Host":"paws.example","PathPrefix":"/added%1$d/","Kind":"safe","TimeoutMs":800,
+            "TargetLatencyMs":100,"Service":"app","MaxAttempts":2},
+            {"Name":"check","Host":"paws.example","PathPrefix":"/check/","Kind":"safe","TimeoutMs":800,
+            "TargetLatencyMs":100,"Service":"app","MaxAttempts":2}],
+            "Services":[{"Name":"llm","MaxConnections":100,"Engine":{"Slots":64,"KvCapacityTokens":500000,
+            "KvTokenBytes":1,"LinkMbps":1000}},{"Name":"app","MaxConnections":100}],
+            "Tenants":[{"Name":"families","ApiKeys":["key","old%1$d"],"RatePerS":1000000,"Burst":1000000,
+            "PlainTokens":1}]}
+            """;
+
+    private final Closer closer = new Closer();
+    private final StandinStore store = closer.add(new StandinStore());
+    private final Map<StandinEndpoint, FaultProxy> endpoints = new LinkedHashMap<>();
+    private final Map<StandinEndpoint, String[]> roles = new LinkedHashMap<>();
+    private final List<DaemonUnderTest> daemons = new ArrayList<>();
+    private int version;
+
+    SoakWorld(long seed) throws IOException {
+        Path directory = Files.createTempDirectory("soak-" + seed + "-");
+        add("i-app-1", "app", "");
+        add("i-app-2", "app", "");
+        add("i-llm-1", "llm", "decode");
+        add("i-llm-2", "llm", "decode");
+        add("i-llm-3", "llm", "prefill");
+        changeDeployment();
+        // Addresses of its own, so that runs beside each other don't meet.
+        long run = ProcessHandle.current().pid() * 31 + seed;
+        String network = "127." + (1 + run / NETWORKS % NETWORKS) + "." + run % NETWORKS + ".";
+        for (int daemon = 1; daemon <= DAEMONS; daemon++) {
+            int storePort = Integer.parseInt(store.address().replaceAll(".*:", ""));
+            FaultProxy link = new FaultProxy(() -> storePort);
+            String main = (daemon == DAEMONS ? SkewedMain.class.getName() : "org.ragwortpitch.edge.Main");
+            DaemonUnderTest added = closer.add(
+                    new DaemonUnderTest(directory, "front-" + daemon, network + daemon, "zone-" + daemon, link, main));
+            daemons.add(added);
+            added.start();
+        }
+    }
+
+    private void add(String id, String pool, String role) throws IOException {
+        StandinEndpoint endpoint = closer.add(new StandinEndpoint(id));
+        endpoint.pace("app".equals(pool) ? 10 : 20);
+        endpoints.put(endpoint, closer.add(new FaultProxy(endpoint::port)));
+        roles.put(endpoint, new String[] {pool, role});
+        list(endpoint, "ready");
+    }
+
+    /**
+     * Lists an endpoint as ready or draining.
+     */
+    void list(StandinEndpoint endpoint, String state) {
+        String[] role = roles.get(endpoint);
+        endpoint.list(store, endpoints.get(endpoint).port(), role[0], role[1], state);
+    }
+
+    /**
+     * Writes a newer version with another route and another second key.
+     */
+    synchronized void changeDeployment() {
+        version++;
+        store.put("keyed.op", "config", DEPLOYMENT.formatted(version));
+    }
+
+    StandinStore store() {
+        return store;
+    }
+
+    List<StandinEndpoint> endpoints() {
+        return List.copyOf(endpoints.keySet());
+    }
+
+    FaultProxy link(StandinEndpoint endpoint) {
+        return endpoints.get(endpoint);
+    }
+
+    List<DaemonUnderTest> daemons() {
+        return daemons;
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
