Read endpoints' entries seldom, and at once where another daemon knows of a change

Change: a read is due 0.7 s before the time to act on an entry is over; daemons tell each other the offset of the last record that changed which endpoints can be used, and one that has not read it does so at once.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -145,7 +145,7 @@
                 settings.domain(),
                 text(front.address()),
                 text(socket.address()));
-        gossiper = new Gossiper(gossipParts(), socket::send);
+        gossiper = new Gossiper(gossipParts(), socket::send, this::endpointsChanged);
         ready = small(settings.readyAddress(), query -> readiness());
         directory = small(settings.directoryAddress(), this::directory);
         small(
@@ -154,6 +154,10 @@
         control = control();
     }
 
+    private void endpointsChanged(long offset) {
+        controlLoop.execute(() -> control.endpointsChanged(offset));
+    }
+
     private GossipParts gossipParts() {
         return new GossipParts(
                 self, peers, fleet, accounts, demands, suspects, usage, this::isReady, agreed, clockMillis, wallMillis);
@@ -360,9 +364,10 @@
         }
 
         @Override
-        public void onEndpoints(Collection<Endpoint> now) {
+        public void onEndpoints(Collection<Endpoint> now, long changedOffset) {
             trafficLoop.execute(() -> {
                 endpoints = now;
+                gossiper.endpointsChangedAt(changedOffset);
                 listed = true;
                 gateway.deployment().ifPresent(deployment -> fleet.apply(now, deployment, clockMillis.getAsLong()));
             });
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -41,8 +41,11 @@
     /** How long the store waits for a change of configuration or daemons, in milliseconds; each call has a price. */
     private static final long WAIT_MILLIS = 10_000;
 
-    /** Reads of the endpoints' entries in the time to act on one: one may fail; each has a price. */
-    private static final int ENDPOINT_READS = 3;
+    /**
+     * What is left of the time to act on an endpoint's entry after the pause between reads, in milliseconds: an answer
+     * takes 4, a lost call is made again after 250. Usually another daemon tells of a change before.
+     */
+    private static final long ENDPOINTS_SPARE_MILLIS = 700;
 
     /** The pause between reads of the daemons' entries, in milliseconds: a fleet that starts lists itself at once. */
     private static final long DAEMONS_PACE_MILLIS = 500;
@@ -61,6 +64,7 @@
     private Map<PoolId, PoolDemand> demands = Map.of();
     private Map<Long, Map<Life, Map<AccountId, Long>>> told = Map.of();
     private Deployment deployment;
+    private TopicFollower endpointsFollower;
 
     /**
      * Prepares to follow the store.
@@ -144,7 +148,9 @@
     public void start() {
         list();
         follow(StoreForm.OPERATORS_TOPIC, 0, WAIT_MILLIS, this::deployments);
-        follow(StoreForm.ENDPOINTS_TOPIC, settings.bounds().drainMillis() / ENDPOINT_READS, 0, this::endpoints);
+        long endpointsPaceMillis =
+                Math.max(ENDPOINTS_SPARE_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_SPARE_MILLIS);
+        endpointsFollower = follow(StoreForm.ENDPOINTS_TOPIC, endpointsPaceMillis, 0, this::endpoints);
         follow(DaemonForm.TOPIC, DAEMONS_PACE_MILLIS, WAIT_MILLIS, this::daemons);
         loop.scheduleWithFixedDelay(this::dropMissing, RETRY_MILLIS, RETRY_MILLIS, TimeUnit.MILLISECONDS);
         duties.start();
@@ -171,6 +177,15 @@
         demands = now;
     }
 
+    /**
+     * Takes over that another daemon knows of a change of the endpoints.
+     */
+    public void endpointsChanged(long offset) {
+        if (endpointsFollower != null) {
+            endpointsFollower.readSoon(offset);
+        }
+    }
+
     /**
      * Gives duties up.
      */
@@ -196,19 +211,20 @@
         loop.schedule(this::list, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void follow(String topic, long paceMillis, long waitMillis, RecordConsumer consumer) {
-        new TopicFollower(loop, store, topic, paceMillis, waitMillis, new TopicListener() {
-                    @Override
-                    public void onLoaded(List<KeyedRecord> records) {
-                        consumer.accept(records, true);
-                    }
+    private TopicFollower follow(String topic, long paceMillis, long waitMillis, RecordConsumer consumer) {
+        TopicFollower follower = new TopicFollower(loop, store, topic, paceMillis, waitMillis, new TopicListener() {
+            @Override
+            public void onLoaded(List<KeyedRecord> records) {
+                consumer.accept(records, true);
+            }
 
-                    @Override
-                    public void onRecords(List<KeyedRecord> records) {
-                        consumer.accept(records, false);
-                    }
-                })
-                .start();
+            @Override
+            public void onRecords(List<KeyedRecord> records) {
+                consumer.accept(records, false);
+            }
+        });
+        follower.start();
+        return follower;
     }
 
     private void deployments(List<KeyedRecord> records, boolean all) {
@@ -242,12 +258,12 @@
         } else {
             endpoints.changed(records, store.reachedForMillis());
         }
-        listener.onEndpoints(endpoints.endpoints());
+        listener.onEndpoints(endpoints.endpoints(), endpoints.changedOffset());
     }
 
     private void dropMissing() {
         if (endpoints.dropMissing(store.reachedForMillis())) {
-            listener.onEndpoints(endpoints.endpoints());
+            listener.onEndpoints(endpoints.endpoints(), endpoints.changedOffset());
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
@@ -18,8 +18,10 @@
 
     /**
      * The endpoints that are listed now.
+     *
+     * @param changedOffset the newest record that changed which can be used; -1 if there was none
      */
-    void onEndpoints(Collection<Endpoint> endpoints);
+    void onEndpoints(Collection<Endpoint> endpoints, long changedOffset);
 
     /**
      * The endpoints that change their role by this daemon's orders now.
--- a/edge/src/main/java/org/ragwortpitch/edge/control/EndpointBook.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EndpointBook.java
@@ -28,6 +28,7 @@
 
     private final Map<EndpointId, Endpoint> listed = new HashMap<>();
     private final Set<EndpointId> missing = new HashSet<>();
+    private long changedOffset = -1;
 
     /**
      * Takes all entries over.
@@ -55,13 +56,19 @@
             EndpointId id = EndpointForm.id(entry.key());
             if (entry.value().length == 0) {
                 removed(id, reachedMillis);
+                changedOffset = Math.max(changedOffset, entry.offset());
                 continue;
             }
             try {
-                listed.put(id, EndpointForm.decode(entry.key(), entry.value()));
+                Endpoint now = EndpointForm.decode(entry.key(), entry.value());
+                Endpoint before = listed.put(id, now);
                 missing.remove(id);
+                if (before == null || !now.isUsedLike(before)) {
+                    changedOffset = Math.max(changedOffset, entry.offset());
+                }
             } catch (FormException exception) {
                 listed.remove(id);
+                changedOffset = Math.max(changedOffset, entry.offset());
                 Event.of("endpoint-unreadable")
                         .with("endpoint", id)
                         .with("reason", exception.getMessage())
@@ -84,6 +91,13 @@
         return true;
     }
 
+    /**
+     * Tells the newest record that changed which endpoints can be used or how; -1 if there was none.
+     */
+    long changedOffset() {
+        return changedOffset;
+    }
+
     /**
      * Tells the endpoints.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.edge.control;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.lang.System.Logger;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,6 +34,8 @@
     private final long waitMillis;
     private final TopicListener listener;
     private long offset;
+    private long wantedOffset = -1;
+    private ScheduledFuture<?> next;
 
     /**
      * Prepares to follow a topic.
@@ -54,6 +57,17 @@
         load("", new ArrayList<>(), -1);
     }
 
+    /**
+     * Reads before its time, since there is a record that is worth it.
+     */
+    void readSoon(long atOffset) {
+        wantedOffset = Math.max(wantedOffset, atOffset);
+        if (offset <= wantedOffset && next != null && next.cancel(false)) {
+            next = null;
+            read();
+        }
+    }
+
     private void load(String after, List<KeyedRecord> loaded, long firstEnd) {
         store.call(
                 StoreForm.newest(topic, after),
@@ -115,7 +129,7 @@
             if (!records.isEmpty()) {
                 listener.onRecords(records);
             }
-            later(paceMillis, this::read);
+            next = later(offset <= wantedOffset ? PAUSE_MILLIS : paceMillis, this::read);
         } catch (FormException exception) {
             unreadable(exception);
             later(PAUSE_MILLIS, this::read);
@@ -138,7 +152,7 @@
                 .warn(LOGGER);
     }
 
-    private void later(long millis, Runnable action) {
-        loop.schedule(action, millis, TimeUnit.MILLISECONDS);
+    private ScheduledFuture<?> later(long millis, Runnable action) {
+        return loop.schedule(action, millis, TimeUnit.MILLISECONDS);
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -22,11 +22,23 @@
 
     private final GossipParts parts;
     private long sequence;
+    private long endpointsChangedOffset = -1;
 
     GossipWriter(GossipParts parts) {
         this.parts = parts;
     }
 
+    /**
+     * Notes a change of the endpoints.
+     *
+     * @return whether it is newer than what was known
+     */
+    boolean noteEndpointsChanged(long offset) {
+        boolean newer = offset > endpointsChangedOffset;
+        endpointsChangedOffset = Math.max(endpointsChangedOffset, offset);
+        return newer;
+    }
+
     /**
      * Writes what this daemon has spent and has under way.
      *
@@ -92,6 +104,7 @@
                 .setInstance(parts.self().id().value())
                 .setBornMillis(parts.self().bornMillis())
                 .setSequence(++sequence)
+                .setEndpointsChanged(endpointsChangedOffset + 1)
                 .setReady(parts.ready().getAsBoolean())
                 .setWallMillis(parts.wallMillis().getAsLong());
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.LongConsumer;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.PromptPart;
 import org.ragwortpitch.edge.peer.PeerView;
@@ -37,15 +38,18 @@
     private final BiConsumer<String, byte[]> send;
     private final GossipWriter writer;
     private final PeerCounts counts = new PeerCounts();
+    private final LongConsumer endpointsChanged;
     private Collection<EndpointId> changing = List.of();
 
     /**
      * Makes a gossiper.
      *
-     * @param send sends a datagram to an address of host and port; it may be lost
+     * @param send             sends a datagram to an address of host and port; it may be lost
+     * @param endpointsChanged hears of a change of the endpoints that another daemon knows, by its offset in the store
      */
-    public Gossiper(GossipParts parts, BiConsumer<String, byte[]> send) {
+    public Gossiper(GossipParts parts, BiConsumer<String, byte[]> send, LongConsumer endpointsChanged) {
         this.parts = parts;
+        this.endpointsChanged = endpointsChanged;
         this.peers = parts.peers();
         this.send = send;
         this.writer = new GossipWriter(parts);
@@ -87,6 +91,9 @@
         if (peer.equals(parts.self().id())) {
             return;
         }
+        if (writer.noteEndpointsChanged(gossip.getEndpointsChanged() - 1)) {
+            endpointsChanged.accept(gossip.getEndpointsChanged() - 1);
+        }
         if (!gossip.getDigestOf().isEmpty()) {
             heardDigest(peer, gossip);
         } else if (peers.isNear(peer)) {
@@ -160,6 +167,13 @@
         }
     }
 
+    /**
+     * Notes the newest change of the endpoints that this daemon has read, to tell others.
+     */
+    public void endpointsChangedAt(long offset) {
+        writer.noteEndpointsChanged(offset);
+    }
+
     /**
      * Tells what other daemons have told of their counts.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/control/EndpointBookTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/control/EndpointBookTest.java
@@ -23,6 +23,10 @@
         return new KeyedRecord("servers/" + id, value.getBytes(StandardCharsets.UTF_8), 0);
     }
 
+    private static KeyedRecord at(long offset, KeyedRecord entry) {
+        return new KeyedRecord(entry.key(), entry.value(), offset);
+    }
+
     private static KeyedRecord removal(String id) {
         return new KeyedRecord("servers/" + id, new byte[0], 0);
     }
@@ -53,6 +57,18 @@
         assertTrue(book.endpoints().iterator().next().leaving());
     }
 
+    @Test
+    void testOnlyWhatChangesTheUseOfAnEndpointCountsAsAChange() {
+        book.loaded(List.of(at(5, entry("a", "ready"))), LONG_REACHED);
+        assertEquals(5, book.changedOffset());
+        book.changed(List.of(at(6, entry("a", "ready"))), LONG_REACHED);
+        assertEquals(5, book.changedOffset());
+        book.changed(List.of(at(7, entry("a", "draining"))), LONG_REACHED);
+        assertEquals(7, book.changedOffset());
+        book.changed(List.of(at(9, removal("a"))), LONG_REACHED);
+        assertEquals(9, book.changedOffset());
+    }
+
     @Test
     void testEntryThatTurnsUnreadableNamesNoEndpoint() {
         book.loaded(List.of(entry("a", "ready")), LONG_REACHED);
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -123,6 +123,15 @@
         assertFalse(members.get("a2").peers.isRelay(nowMillis));
     }
 
+    @Test
+    void testChangeOfEndpointsIsToldToAllDaemons() {
+        members.get("a2").gossiper.endpointsChangedAt(41);
+        pass(SECOND_MILLIS);
+        assertEquals(41, members.get("a1").endpointsChanged);
+        assertEquals(41, members.get("b2").endpointsChanged);
+        assertEquals(-1, members.get("a2").endpointsChanged);
+    }
+
     private long namedIn(String asked, FailureDomain domain) {
         return members.get(asked).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
@@ -139,6 +148,7 @@
         private final Accounts accounts = new Accounts(true);
         private final Fleet fleet = new Fleet(address -> {});
         private final Gossiper gossiper;
+        private long endpointsChanged = -1;
 
         Member(String name) {
             self = new Daemon(new InstanceId(name), 1, new FailureDomain(name.substring(0, 1)), name, name);
@@ -166,7 +176,7 @@
                     new AgreedClock(nowMillis, nowMillis),
                     () -> nowMillis,
                     () -> nowMillis);
-            gossiper = new Gossiper(parts, this::send);
+            gossiper = new Gossiper(parts, this::send, offset -> endpointsChanged = offset);
         }
 
         void learnOthers() {
--- a/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
@@ -32,6 +32,13 @@
         boolean reclaimable,
         OptionalLong leavesInMillis) {
 
+    /**
+     * Tells whether requests go to both alike.
+     */
+    public boolean isUsedLike(Endpoint other) {
+        return isSameLife(other) && leaving == other.leaving && role == other.role && pool.equals(other.pool);
+    }
+
     /**
      * Tells whether both are the same life of the same endpoint.
      */
