Take a single missing entry for gone at once after a cut

Change: missing entries are kept only in pools that have lost most of theirs, as an outage of the store makes them; they are looked for every 0.1 s, and while the store is lost its answers are waited for 0.6 s instead of 1.5 s, without long waits.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -52,6 +52,9 @@
 
     private static final long RETRY_MILLIS = 500;
 
+    /** How often entries that must be back are looked for, in milliseconds: a tenth of the second left to act on it. */
+    private static final long DROP_MILLIS = 100;
+
     private final EventLoop loop;
     private final InstanceSettings settings;
     private final Daemon self;
@@ -152,7 +155,7 @@
                 Math.max(ENDPOINTS_SPARE_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_SPARE_MILLIS);
         endpointsFollower = follow(StoreForm.ENDPOINTS_TOPIC, endpointsPaceMillis, 0, this::endpoints);
         follow(DaemonForm.TOPIC, DAEMONS_PACE_MILLIS, WAIT_MILLIS, this::daemons);
-        loop.scheduleWithFixedDelay(this::dropMissing, RETRY_MILLIS, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::dropMissing, DROP_MILLIS, DROP_MILLIS, TimeUnit.MILLISECONDS);
         duties.start();
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/EndpointBook.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EndpointBook.java
@@ -13,6 +13,7 @@
 import org.ragwortpitch.contract.KeyedRecord;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
 
 /**
@@ -99,10 +100,20 @@
     }
 
     /**
-     * Tells the endpoints.
+     * Tells the endpoints. Of those that are missing only the ones of a pool count that has lost most of its entries: an
+     * outage of the store lets all lapse, while this daemon's own was cut others really left.
      */
     Collection<Endpoint> endpoints() {
-        return List.copyOf(listed.values());
+        if (missing.isEmpty()) {
+            return List.copyOf(listed.values());
+        }
+        Map<PoolId, Integer> balance = new HashMap<>();
+        listed.forEach((id, endpoint) -> balance.merge(endpoint.pool(), missing.contains(id) ? -1 : 1, Integer::sum));
+        return listed.entrySet().stream()
+                .filter(entry -> !missing.contains(entry.getKey())
+                        || balance.get(entry.getValue().pool()) < 0)
+                .map(Map.Entry::getValue)
+                .toList();
     }
 
     private void removed(EndpointId id, long reachedMillis) {
--- a/edge/src/main/java/org/ragwortpitch/edge/control/StoreClient.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/StoreClient.java
@@ -19,6 +19,9 @@
     /** How long an answer may take besides what the store was asked to wait, in milliseconds; usual answers take 4. */
     private static final long ANSWER_MILLIS = 1_500;
 
+    /** The same while the store can't be reached, in milliseconds, so that its return shows soon. */
+    private static final long LOST_ANSWER_MILLIS = 600;
+
     private static final int FIRST_SERVER_ERROR = 500;
 
     private static final int TOO_MANY = 429;
@@ -48,7 +51,7 @@
         caller.call(
                 address,
                 call,
-                waitMillis + ANSWER_MILLIS,
+                reached ? waitMillis + ANSWER_MILLIS : LOST_ANSWER_MILLIS,
                 answer -> {
                     if (answer.status() >= FIRST_SERVER_ERROR || answer.status() == TOO_MANY) {
                         lost(call, "status " + answer.status());
@@ -71,6 +74,10 @@
         return reached ? clockMillis.getAsLong() - reachedSinceMillis : 0;
     }
 
+    boolean isReached() {
+        return reached;
+    }
+
     private void reached(HttpCall call) {
         if (!reached) {
             reached = true;
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -104,9 +104,11 @@
     }
 
     private void read() {
+        // A store that was lost is asked for a quick answer first, which shows that it is back.
+        long nowWaitMillis = store.isReached() ? waitMillis : 0;
         store.call(
-                StoreForm.read(topic, offset, waitMillis),
-                waitMillis,
+                StoreForm.read(topic, offset, nowWaitMillis),
+                nowWaitMillis,
                 this::readOn,
                 reason -> later(PAUSE_MILLIS, this::read));
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/control/EndpointBookTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/control/EndpointBookTest.java
@@ -49,6 +49,15 @@
         assertEquals("a", book.endpoints().iterator().next().id().value());
     }
 
+    @Test
+    void testSingleEntryThatIsMissingAfterACutIsGoneAtOnce() {
+        book.loaded(List.of(entry("a", "ready"), entry("b", "ready"), entry("c", "ready")), LONG_REACHED);
+        book.changed(List.of(removal("a")), 300);
+        assertEquals(2, book.endpoints().size());
+        book.changed(List.of(removal("b")), 400);
+        assertEquals(3, book.endpoints().size(), "most are missing, as after an outage of the store");
+    }
+
     @Test
     void testReloadDropsWhatIsGone() {
         book.loaded(List.of(entry("a", "ready"), entry("b", "ready")), LONG_REACHED);
