Tell all daemons which idle engines refuse

Engines that change by an order weren't told to other failure domains at all. Ruled out: full engines: with ten requests and more known to run, 3 of 1,300 sends were refused. Change: an engine that refuses with less than a quarter of its places taken is told to the others, and left alone by all for 0.6 s; digests between failure domains carry what their domain knows of engines that serve nothing now.

--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -10,7 +10,6 @@
 import java.io.UncheckedIOException;
 import java.util.Locale;
 import org.ragwortpitch.deployment.Route;
-import org.ragwortpitch.identity.PoolId;
 
 /**
  * The metrics of a daemon. Labels are bounded: kinds, outcomes and statuses, never routes, accounts or endpoints.
@@ -65,7 +64,7 @@
     /**
      * Notes how long a plain service took.
      */
-    public void endpointAnswered(PoolId pool, long millis) {
+    public void endpointAnswered(long millis) {
         endpoints.labelValues("service").observe(millis / MILLIS_PER_SECOND);
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -21,6 +21,9 @@
     /** Within this time of its listing a new engine is ordered to another role if it gets one, in milliseconds. */
     static final long SETTLING_MILLIS = 1_500;
 
+    /** Up to this part of its places taken, an engine that refuses isn't full: it changes, starts or leaves. */
+    private static final double NOT_FULL_SHARE = 0.25;
+
     private final Retold<PromptPart> sentParts = new Retold<>(MAX_SENT_PARTS);
     private final Retold<PromptPart> domainSentParts = new Retold<>(MAX_SENT_PARTS);
     private final HealthScore health = new HealthScore();
@@ -28,6 +31,7 @@
     private Endpoint endpoint;
     private final long listedMillis;
     private long avoidUntilMillis;
+    private long warnUntilMillis;
     private int running;
     private long heardMillis;
 
@@ -55,6 +59,26 @@
         return nowMillis < avoidUntilMillis;
     }
 
+    /**
+     * Notes that it refused a request before it ran.
+     *
+     * @param pauseMillis for how long it gets no more, in milliseconds
+     */
+    void refused(long pauseMillis, long nowMillis) {
+        health.refused(pauseMillis, nowMillis);
+        if (engine != null
+                && engine.totalRunning() < NOT_FULL_SHARE * engine.spec().slots()) {
+            warnUntilMillis = nowMillis + pauseMillis;
+        }
+    }
+
+    /**
+     * Tells whether other daemons had better not find out by themselves that it refuses.
+     */
+    boolean isWarnedOf(long nowMillis) {
+        return nowMillis < warnUntilMillis;
+    }
+
     /**
      * Tells whether it was listed just now as one that makes tokens: its role may change at once.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineRun.java
@@ -169,7 +169,7 @@
                     handedOver(state, handle);
                 },
                 reason -> {
-                    state.health().refused(REFUSED_MILLIS, now());
+                    state.refused(REFUSED_MILLIS, now());
                     readFailed(reason);
                 });
         current = read;
@@ -269,7 +269,7 @@
         if (exchange.isDone()) {
             return;
         }
-        run.target().health().refused(REFUSED_MILLIS, now());
+        run.target().refused(REFUSED_MILLIS, now());
         tried.add(run.target().endpoint().id());
         if (!decodeElsewhere("refused unrun with " + status)) {
             again("refused unrun with " + status, true);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -42,10 +42,10 @@
     /**
      * Writes what this daemon has spent and has under way.
      *
-     * @param times    how often news are told, once to each daemon
-     * @param changing the endpoints that change their role by an order of this daemon
+     * @param times   how often news are told, once to each daemon
+     * @param avoided the endpoints that serve nothing now, as this daemon knows by itself
      */
-    byte[] own(int times, Collection<EndpointId> changing) {
+    byte[] own(int times, Collection<EndpointId> avoided) {
         Gossip.Builder gossip = begin();
         parts.accounts()
                 .eachSpent((account, tokens) -> gossip.addSpends(
@@ -63,7 +63,7 @@
                         (request, crashes) -> gossip.addCrashes(CrashedRequest.newBuilder()
                                 .setFingerprint(request.value())
                                 .setCrashes(crashes)));
-        changing.forEach(endpoint -> gossip.addChanging(endpoint.value()));
+        avoided.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         parts.demands()
                 .eachOwn((pool, tokens) -> gossip.addReadings(
                         PoolReading.newBuilder().setPool(pool.value()).setTokens(tokens)));
@@ -74,14 +74,16 @@
     /**
      * Writes what the daemons of this failure domain together have spent and have under way.
      *
-     * @param times how often news are told, once to each daemon
+     * @param times   how often news are told, once to each daemon
+     * @param avoided the endpoints that serve nothing now, as the daemons of this domain know
      */
-    byte[] digest(int times, long nowMillis) {
+    byte[] digest(int times, Collection<EndpointId> avoided, long nowMillis) {
         Gossip.Builder gossip = begin().setDigestOf(parts.self().domain().value());
         parts.peers()
                 .nearHeard(nowMillis)
                 .forEach((peer, ready) -> gossip.addHeard(
                         HeardDaemon.newBuilder().setInstance(peer.value()).setReady(ready)));
+        avoided.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         parts.accounts()
                 .eachSpentInDomain((account, tokens) -> gossip.addSpends(
                         AccountSpend.newBuilder().setAccount(account.value()).setTokens(tokens)));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 import org.ragwortpitch.deployment.Daemon;
@@ -33,12 +36,16 @@
     /** For how long an endpoint that is said to change is left alone, in milliseconds; it is said again meanwhile. */
     private static final long CHANGING_MILLIS = 700;
 
+    /** The same between failure domains, in milliseconds, where rounds are longer. */
+    private static final long FAR_CHANGING_MILLIS = 1_500;
+
     private final GossipParts parts;
     private final PeerView peers;
     private final BiConsumer<String, byte[]> send;
     private final GossipWriter writer;
     private final PeerCounts counts = new PeerCounts();
     private final LongConsumer endpointsChanged;
+    private final Map<EndpointId, Long> nearAvoidedUntilMillis = new HashMap<>();
     private Collection<EndpointId> changing = List.of();
 
     /**
@@ -69,7 +76,7 @@
     public void tell() {
         long now = parts.clockMillis().getAsLong();
         parts.agreed().advance(now, parts.wallMillis().getAsLong());
-        byte[] own = writer.own(peers.near().steps(), changing);
+        byte[] own = writer.own(peers.near().steps(), avoided(now));
         peers.near().step().forEach(daemon -> {
             send.accept(daemon.peerAddress(), own);
             forgetIfSilent(daemon.id(), now);
@@ -77,7 +84,7 @@
         List<Daemon> far = peers.far().step();
         far.forEach(daemon -> forgetIfSilent(domainOf(daemon.domain().value()), now));
         if (!far.isEmpty() && peers.isRelay(now)) {
-            byte[] digest = writer.digest(peers.far().steps(), now);
+            byte[] digest = writer.digest(peers.far().steps(), avoidedInDomain(now), now);
             far.forEach(daemon -> send.accept(daemon.peerAddress(), digest));
         }
         parts.accounts().share((double) peers.heardCount(now) / peers.count(), now);
@@ -121,8 +128,10 @@
         }
         gossip.getCrashesList().forEach(crash -> parts.suspects()
                 .learnNear(new Fingerprint(crash.getFingerprint()), crash.getCrashes(), now));
-        parts.fleet()
-                .avoid(gossip.getChangingList().stream().map(EndpointId::new).toList(), now + CHANGING_MILLIS);
+        List<EndpointId> avoided =
+                gossip.getChangingList().stream().map(EndpointId::new).toList();
+        parts.fleet().avoid(avoided, now + CHANGING_MILLIS);
+        avoided.forEach(endpoint -> nearAvoidedUntilMillis.put(endpoint, now + CHANGING_MILLIS));
         forget(peer);
         for (EngineLoad load : gossip.getLoadsList()) {
             EndpointState state = engine(load);
@@ -157,6 +166,8 @@
         }
         gossip.getCrashesList().forEach(crash -> parts.suspects()
                 .learn(new Fingerprint(crash.getFingerprint()), crash.getCrashes(), now));
+        parts.fleet()
+                .avoid(gossip.getChangingList().stream().map(EndpointId::new).toList(), now + FAR_CHANGING_MILLIS);
         forget(domain);
         for (EngineLoad load : gossip.getLoadsList()) {
             EndpointState state = engine(load);
@@ -189,6 +200,21 @@
         parts.fleet().avoid(changing, parts.clockMillis().getAsLong() + CHANGING_MILLIS);
     }
 
+    private Set<EndpointId> avoided(long nowMillis) {
+        Set<EndpointId> avoided = new HashSet<>(changing);
+        parts.fleet().all().stream()
+                .filter(state -> state.isWarnedOf(nowMillis))
+                .forEach(state -> avoided.add(state.endpoint().id()));
+        return avoided;
+    }
+
+    private Set<EndpointId> avoidedInDomain(long nowMillis) {
+        nearAvoidedUntilMillis.values().removeIf(until -> until <= nowMillis);
+        Set<EndpointId> avoided = avoided(nowMillis);
+        avoided.addAll(nearAvoidedUntilMillis.keySet());
+        return avoided;
+    }
+
     private EndpointState engine(EngineLoad load) {
         EndpointState state = parts.fleet().find(new EndpointId(load.getEndpoint()));
         return state == null || state.engine() == null ? null : state;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -211,7 +211,7 @@
                 target.health().failed(false, now());
             } else {
                 target.health().succeeded();
-                parts.metrics().endpointAnswered(pool, now() - sentMillis);
+                parts.metrics().endpointAnswered(now() - sentMillis);
             }
             if (error && mayRunElsewhere()) {
                 pendingError(status, headers, body);
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -115,6 +115,26 @@
         assertEquals(1, namedIn("b1", domain));
     }
 
+    @Test
+    void testEngineThatRefusesThoughItIsIdleIsLeftAloneByAll() {
+        members.get("a2").state().refused(600, nowMillis);
+        pass(600);
+        assertTrue(members.get("a1").state().isAvoided(nowMillis));
+        assertTrue(members.get("b2").state().isAvoided(nowMillis));
+        pass(3 * SECOND_MILLIS);
+        assertFalse(members.get("b2").state().isAvoided(nowMillis));
+    }
+
+    @Test
+    void testEngineThatIsFullIsLeftToEachDaemon() {
+        for (int request = 0; request < 32; request++) {
+            members.get("a2").engine().begin(100, 0);
+        }
+        members.get("a2").state().refused(600, nowMillis);
+        pass(600);
+        assertFalse(members.get("a1").state().isAvoided(nowMillis));
+    }
+
     @Test
     void testOnlyOneDaemonOfADomainTellsTheOthers() {
         betweenDomains = 0;
