Start large fleets with more engines that make tokens

Change: until a demand is known, one engine of four makes tokens, and at least one a failure domain. Fleets of up to fifteen engines in three domains start as before.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetDesk.java
@@ -35,6 +35,9 @@
     /** Readers for each engine that operators have running at first: prompts are read anew while caches are cold. */
     private static final double FIRST_READERS_SHARE = 1.4;
 
+    /** Of so many engines at first one makes tokens, before a demand is known: a third of them do under full load. */
+    private static final int ENGINES_A_FIRST_DECODER = 4;
+
     /** An order is repeated after this time, in milliseconds, where engines that leave take the room of new ones. */
     private static final long ROOM_MILLIS = 1_200;
 
@@ -72,7 +75,7 @@
         if (!needs.containsKey(pool) && !isSettled(pool, now, nowMillis)) {
             return Optional.empty();
         }
-        EngineNeed need = needs.computeIfAbsent(pool, id -> new EngineNeed(firstReaders(now.values())));
+        EngineNeed need = needs.computeIfAbsent(pool, id -> new EngineNeed(firstCount(now.values())));
         EngineCount count = need.count(demand, now.size(), nowMillis);
         Set<FailureDomain> without = now.keySet().stream()
                 .filter(domain -> noneUntilMillis.containsKey(new Subject(pool, domain, true)))
@@ -105,11 +108,13 @@
         return nowMillis - last.sinceMillis() >= SETTLE_MILLIS;
     }
 
-    private static int firstReaders(Collection<DomainFleet> fleets) {
+    private static EngineCount firstCount(Collection<DomainFleet> fleets) {
         int reclaimable = fleets.stream().mapToInt(DomainFleet::reclaimable).sum();
         int there = fleets.stream().mapToInt(DomainFleet::total).sum();
+        int decoders = Math.max(fleets.size(), there / ENGINES_A_FIRST_DECODER);
         // Where reclaimable ones are, a holder before has planned already.
-        return reclaimable > 0 ? Math.max(1, there - fleets.size()) : (int) Math.ceil(there * FIRST_READERS_SHARE);
+        int readers = reclaimable > 0 ? Math.max(1, there - decoders) : (int) Math.ceil(there * FIRST_READERS_SHARE);
+        return new EngineCount(readers, decoders);
     }
 
     private static Map<FailureDomain, DomainFleet> present(
--- a/policy/src/main/java/org/ragwortpitch/scaling/EngineNeed.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/EngineNeed.java
@@ -22,16 +22,16 @@
     private static final long LOWER_MILLIS = 9_000;
 
     private final Deque<Past> past = new ArrayDeque<>();
-    private final int firstReaders;
+    private final EngineCount first;
     private boolean asked;
 
     /**
      * Makes a need without a past.
      *
-     * @param firstReaders the readers that are needed until a demand is known
+     * @param first the engines that are needed until a demand is known
      */
-    public EngineNeed(int firstReaders) {
-        this.firstReaders = firstReaders;
+    public EngineNeed(EngineCount first) {
+        this.first = first;
     }
 
     /**
@@ -46,14 +46,14 @@
         if (!asked) {
             asked = demand.readTokensPerMilli() > 0;
             past.clear();
-            past.add(new Past(nowMillis, new EngineCount(firstReaders, domains)));
+            past.add(new Past(nowMillis, new EngineCount(first.readers(), Math.max(domains, first.decoders()))));
         }
         past.add(new Past(nowMillis, new EngineCount(Math.max(FEWEST_READERS, readers), Math.max(domains, decoders))));
         while (past.size() > 1 && nowMillis - past.peek().atMillis() > LOWER_MILLIS) {
             past.poll();
         }
         return new EngineCount(
-                past.stream().mapToInt(one -> one.count().readers()).max().orElse(firstReaders),
+                past.stream().mapToInt(one -> one.count().readers()).max().orElse(first.readers()),
                 past.stream().mapToInt(one -> one.count().decoders()).max().orElse(domains));
     }
 
--- a/policy/src/test/java/org/ragwortpitch/scaling/EngineNeedTest.java
+++ b/policy/src/test/java/org/ragwortpitch/scaling/EngineNeedTest.java
@@ -13,7 +13,7 @@
 
     private static final PoolDemand NONE = new PoolDemand(0, 0);
 
-    private final EngineNeed need = new EngineNeed(18);
+    private final EngineNeed need = new EngineNeed(new EngineCount(18, 0));
 
     @Test
     void testFirstCountLastsUntilCallersCome() {
@@ -21,6 +21,13 @@
         assertEquals(new EngineCount(18, 3), need.count(NONE, 3, 60_000));
     }
 
+    @Test
+    void testLargeFleetStartsWithMoreDecodersThanFailureDomains() {
+        EngineNeed large = new EngineNeed(new EngineCount(58, 10));
+        assertEquals(new EngineCount(58, 10), large.count(NONE, 3, 0));
+        assertEquals(10, large.count(new PoolDemand(450, 100), 3, 1).decoders(), "they are there when callers come");
+    }
+
     @Test
     void testHigherDemandCountsAtOnce() {
         assertTrue(need.count(new PoolDemand(450, 100), 3, 0).readers() > 18);
