Hold back the part of an account's burst that silent daemons may spend

Ruled out: the bound on debts from peers' spending (no change without it). Holding it as a reserve below which nothing is let through: an account at its rate would wait six seconds. Change: while daemons aren't known, the burst is cut to the part of those that are; a daemon's spending is unknown after three rounds without a word; restarted daemons begin without a burst. GossiperTest's amounts follow the part that is cut; PeerViewTest's counts follow the three rounds.

--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -26,6 +26,9 @@
     /** The same where rounds are long, in rounds. */
     private static final int SILENT_ROUNDS = 4;
 
+    /** After so many rounds without a word a daemon may be spending what others can't know of: two lost datagrams. */
+    private static final int UNKNOWN_ROUNDS = 3;
+
     /** How long a datagram may be under way, in milliseconds; an instance takes longer to start anew. */
     private static final long UNDER_WAY_MILLIS = 1_000;
 
@@ -51,6 +54,7 @@
     private final GossipRound near = new GossipRound(NEAR_MILLIS, NEAR_PER_SECOND);
     private final GossipRound far = new GossipRound(FAR_MILLIS, FAR_PER_SECOND);
     private Map<InstanceId, Daemon> listed = new HashMap<>();
+    private final Map<InstanceId, Long> listedMillis = new HashMap<>();
     private Set<InstanceId> nearIds = Set.of();
 
     /**
@@ -74,10 +78,11 @@
     /**
      * Takes a new list over.
      */
-    public void apply(Collection<Daemon> daemons) {
+    public void apply(Collection<Daemon> daemons, long nowMillis) {
         Map<InstanceId, Daemon> next = new HashMap<>();
         daemons.forEach(daemon -> next.put(daemon.id(), daemon));
         listed = next;
+        daemons.forEach(daemon -> listedMillis.putIfAbsent(daemon.id(), nowMillis));
         boolean direct = count() <= mostDirect;
         Map<Boolean, List<Daemon>> byNearness = daemons.stream()
                 .collect(Collectors.partitioningBy(
@@ -157,25 +162,37 @@
     }
 
     /**
-     * Counts the daemons that are heard of, with this one.
+     * Counts the daemons whose spending is known, with this one: those heard of, or listed first, in the last three
+     * rounds.
      */
-    public int heardCount(long nowMillis) {
+    public int knownCount(long nowMillis) {
         return 1
                 + (int) listed.keySet().stream()
-                        .filter(id -> isHeard(id, nowMillis))
+                        .filter(id -> isKnown(id, nowMillis))
                         .count();
     }
 
+    private boolean isKnown(InstanceId peer, long nowMillis) {
+        long withinMillis = UNKNOWN_ROUNDS * roundOf(peer).millis();
+        return isHeardWithin(peer, withinMillis, nowMillis)
+                || nowMillis - listedMillis.getOrDefault(peer, 0L) <= withinMillis;
+    }
+
     /**
      * Tells whether a daemon was heard of lately.
      */
     public boolean isHeard(InstanceId peer, long nowMillis) {
+        return isHeardWithin(
+                peer, Math.max(SILENT_MILLIS, SILENT_ROUNDS * roundOf(peer).millis()), nowMillis);
+    }
+
+    private boolean isHeardWithin(InstanceId peer, long withinMillis, long nowMillis) {
         Heard last = heard.get(peer);
-        return last != null && nowMillis - last.atMillis() <= silentMillis(isNear(peer) ? near : far);
+        return last != null && nowMillis - last.atMillis() <= withinMillis;
     }
 
-    private static long silentMillis(GossipRound round) {
-        return Math.max(SILENT_MILLIS, SILENT_ROUNDS * round.millis());
+    private GossipRound roundOf(InstanceId peer) {
+        return isNear(peer) ? near : far;
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Accounts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Accounts.java
@@ -14,8 +14,8 @@
  */
 public final class Accounts {
 
-    /** A daemon that starts anew doesn't know what was spent just before; it begins with a part of the burst. */
-    private static final double FILLED_AT_RESTART = 0.25;
+    /** A daemon that starts anew doesn't know what was spent just before, so its buckets start without a burst. */
+    private static final double FILLED_AT_RESTART = 0;
 
     private final Map<AccountId, SharedBucket> buckets = new HashMap<>();
     private final Map<AccountId, Long> nearSpent = new HashMap<>();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -66,7 +66,7 @@
      * Takes a new list of daemons over.
      */
     public void apply(Collection<Daemon> daemons) {
-        peers.apply(daemons);
+        peers.apply(daemons, parts.clockMillis().getAsLong());
         daemons.stream().map(Daemon::id).filter(peer -> !peers.isNear(peer)).forEach(this::forget);
     }
 
@@ -87,7 +87,7 @@
             byte[] digest = writer.digest(peers.far().steps(), avoidedInDomain(now), now);
             far.forEach(daemon -> send.accept(daemon.peerAddress(), digest));
         }
-        parts.accounts().share((double) peers.heardCount(now) / peers.count(), now);
+        parts.accounts().share((double) peers.knownCount(now) / peers.count(), now);
     }
 
     /**
--- a/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
@@ -24,9 +24,11 @@
     private final PeerView view = new PeerView(new InstanceId("self"), NEAR);
 
     private void listBoth() {
-        view.apply(List.of(
-                new Daemon(A, 1, new FailureDomain("far"), "10.0.0.1:80", "10.0.0.1:90"),
-                new Daemon(B, 1, NEAR, "10.0.0.2:80", "10.0.0.2:90")));
+        view.apply(
+                List.of(
+                        new Daemon(A, 1, new FailureDomain("far"), "10.0.0.1:80", "10.0.0.1:90"),
+                        new Daemon(B, 1, NEAR, "10.0.0.2:80", "10.0.0.2:90")),
+                -10_000);
     }
 
     @Test
@@ -35,7 +37,8 @@
         view.hear(A, 1, 1, true, 0);
         assertEquals(1, view.ready(NEAR, 1_500).size());
         assertEquals(0, view.ready(NEAR, 1_501).size());
-        assertEquals(2, view.heardCount(1_000));
+        assertEquals(2, view.knownCount(600));
+        assertEquals(1, view.knownCount(601));
         assertEquals(3, view.count());
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -81,11 +81,11 @@
         pass(SECOND_MILLIS);
         members.remove("a1");
         pass(4 * SECOND_MILLIS);
-        assertEquals(0, members.get("a2").spend(30));
+        assertEquals(0, members.get("a2").spend(20));
         pass(SECOND_MILLIS);
-        assertEquals(0, members.get("b1").spend(20));
+        assertEquals(0, members.get("b1").spend(10));
         pass(SECOND_MILLIS);
-        assertEquals(0, members.get("b2").spend(1), "100 less 40, 30 and 20");
+        assertEquals(0, members.get("b2").spend(1), "100 less 40, 20, 10 and the quarter of the silent daemon");
     }
 
     @Test
--- a/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
+++ b/policy/src/main/java/org/ragwortpitch/allowance/SharedBucket.java
@@ -6,7 +6,7 @@
 /**
  * A token bucket that all daemons spend from. Each keeps the whole bucket, debits what it lets through itself, and what
  * the others tell of theirs as totals, so that a lost message costs only time. While some daemons are not heard of, it
- * refills only by the part of those that are: the silent ones may be spending theirs. Confined to one thread.
+ * holds and refills only the part of those that are: the silent ones may be spending theirs. Confined to one thread.
  */
 public final class SharedBucket {
 
@@ -44,11 +44,12 @@
     }
 
     /**
-     * Sets the part of the rate that daemons use which are heard of.
+     * Sets the part of the rate and of the burst that daemons use which are heard of.
      */
     public void share(double newShare, long nowMillis) {
         refill(nowMillis);
         share = newShare;
+        level = Math.min(level, burstTokens * share);
     }
 
     /**
@@ -109,7 +110,7 @@
         double elapsedMillis = Math.max(0, nowMillis - updatedMillis);
         updatedMillis = Math.max(updatedMillis, nowMillis);
         double refilled = elapsedMillis * tokensPerSecond * share / MILLIS_PER_SECOND;
-        level = Math.min(burstTokens, level + refilled);
+        level = Math.min(burstTokens * share, level + refilled);
         promisedTokens = Math.max(0, promisedTokens - refilled);
     }
 }
