--- a/edge/src/main/java/org/ragwortpitch/edge/control/EndpointBook.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EndpointBook.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Tells the endpoints. Of those that are missing only the ones of a pool count that has lost most of its entries: an
-     * outage of the store lets all lapse, while this daemon's own was cut others really left.
+     * Tells the endpoints. Missing ones count only in a pool that has lost most of its entries: an outage of the store
+     * lets all lapse, while single ones that are missing after a cut have really left.
      */
     Collection<Endpoint> endpoints() {
         if (missing.isEmpty()) {
