--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -38,9 +38,15 @@
 
     private static final Logger LOGGER = System.getLogger(Control.class.getName());
 
-    /** How long the store waits for a change of configuration or daemons, in milliseconds; each call has a price. */
+    /** How long the store waits for a change of the daemons, in milliseconds; each call has a price. */
     private static final long WAIT_MILLIS = 10_000;
 
+    /**
+     * The same for the configuration. A connection may go silent; with the time for an answer that shows before an
+     * instance counts as in touch again, three seconds after.
+     */
+    private static final long DEPLOYMENT_WAIT_MILLIS = 1_200;
+
     /**
      * What is left of the time to act on an endpoint's entry after the pause between reads, in milliseconds: an answer
      * takes 4, a lost call is made again after 250. Usually another daemon tells of a change before.
@@ -150,7 +156,7 @@
      */
     public void start() {
         list();
-        follow(StoreForm.OPERATORS_TOPIC, 0, WAIT_MILLIS, this::deployments);
+        follow(StoreForm.OPERATORS_TOPIC, 0, DEPLOYMENT_WAIT_MILLIS, this::deployments);
         long endpointsPaceMillis =
                 Math.max(ENDPOINTS_SPARE_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_SPARE_MILLIS);
         endpointsFollower = follow(StoreForm.ENDPOINTS_TOPIC, endpointsPaceMillis, 0, this::endpoints);
--- a/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
@@ -238,6 +238,17 @@
         await(() -> call("check", "key").statusCode() == 503);
     }
 
+    @Test
+    void testNewVersionIsLearntThoughTheConnectionToTheStoreIsSilent() throws Exception {
+        serve("app", "", "");
+        Thread.sleep(100);
+        store.silenceWaiting();
+        long silentMillis = Loops.CLOCK_MILLIS.getAsLong();
+        store.put("keyed.op", "config", DEPLOYMENT.formatted(9, "look", 1_000_000));
+        await(() -> call("look", "key").statusCode() == 200);
+        assertTrue(Loops.CLOCK_MILLIS.getAsLong() - silentMillis < 3_000, "in the time that the platform's pages give");
+    }
+
     @Test
     void testUsageIsReportedOnce() throws Exception {
         serve("app", "", "");
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -44,6 +44,7 @@
     private final Map<String, Long> memberUntilMillis = new LinkedHashMap<>();
     private final FrontServer server;
     private volatile boolean down;
+    private volatile long silentBeforeMillis = Long.MIN_VALUE;
     private String holder;
     private long generation;
 
@@ -67,6 +68,13 @@
         down = isDown;
     }
 
+    /**
+     * Never answers the reads that wait now, as if their connections had gone silent.
+     */
+    public void silenceWaiting() {
+        silentBeforeMillis = Loops.CLOCK_MILLIS.getAsLong();
+    }
+
     /**
      * Tells the calls for duties so far.
      */
@@ -171,6 +179,9 @@
     }
 
     private void read(QueryStringDecoder query, CallerAnswer answer, long askedMillis) {
+        if (askedMillis < silentBeforeMillis) {
+            return;
+        }
         List<byte[]> records = topic(field(query, "Topic"));
         int from = Integer.parseInt(field(query, "From"));
         long waited = Loops.CLOCK_MILLIS.getAsLong() - askedMillis;
