Show what a daemon sends beyond the first run and what its budget allows

For the report of more repeats than the retry budget allows, no line or counter said how many sends of a request were repeats, what a daemon had spent of its budget, or with how many others it shared the fixed part. Each answer now has its repeats, each retry the state of the budget, and two counters add them up. No decision changes.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -136,7 +136,7 @@
         accounts = new AccountRateLimits(settings.firstStart());
         ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
         table = new EndpointTable(connections::closeIdle);
-        retryBudgets = new RetryBudgets(bounds, peers::count);
+        retryBudgets = new RetryBudgets(bounds, peers::count, metrics::recordBudgetDenial);
         gateway = new Gateway(trafficContext(connections), new BufferingHttpCaller(trafficLoop, connections));
         front = closer.add(new FrontServer(
                 trafficLoop, socketAddress(settings.frontAddress()), gateway::limits, gateway, clockMillis));
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -42,6 +42,15 @@
             .help("How often something that the daemon needs was lost, by what it was")
             .labelNames("dependency")
             .register(registry);
+    private final Counter repeats = Counter.builder()
+            .name("ragwortpitch_repeat_sends_total")
+            .help("Sends beyond the first run and the first accepted prefill of a request, by kind of route")
+            .labelNames("kind")
+            .register(registry);
+    private final Counter budgetDenials = Counter.builder()
+            .name("ragwortpitch_retry_budget_denials_total")
+            .help("Retries that the retry budget did not allow")
+            .register(registry);
     private final Gauge deploymentVersion = Gauge.builder()
             .name("ragwortpitch_deployment_version")
             .help("The version of the configuration in force")
@@ -55,6 +64,20 @@
         answers.labelValues(kind(route)).observe(millis / MILLIS_PER_SECOND);
     }
 
+    /**
+     * Counts the sends of a request that were repeats.
+     */
+    public void recordRepeats(Route route, int count) {
+        repeats.labelValues(kind(route)).inc(count);
+    }
+
+    /**
+     * Counts a retry that the retry budget did not allow.
+     */
+    public void recordBudgetDenial() {
+        budgetDenials.inc();
+    }
+
     /**
      * Records the time until a stream's first event, in milliseconds.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.budget.SendTally;
 import org.ragwortpitch.deployment.AccountSpec;
 import org.ragwortpitch.deployment.Route;
 import org.ragwortpitch.edge.front.CallerRequest;
@@ -48,7 +49,8 @@
     private long firstEventMillis;
     private long lastChunkMillis;
     private long longestGapMillis;
-    private int sends;
+    private final SendTally sends = new SendTally();
+    private int sendCount;
     private Fingerprint fingerprint;
     private boolean executionRecorded;
     private boolean streamBegun;
@@ -123,7 +125,8 @@
         headers.set(Headers.TARGET, target.endpoint().id().value());
         headers.set(Headers.DEADLINE, Math.max(1, remainingMillis(nowMillis)));
         account.ifPresent(known -> headers.set(Headers.ACCOUNT, known.id().value()));
-        sends++;
+        sendCount++;
+        sends.recordSend();
         sentEndpoints = sentEndpoints
                 + (sentEndpoints.isEmpty() ? "" : ",")
                 + target.endpoint().id();
@@ -141,6 +144,13 @@
         return request;
     }
 
+    /**
+     * Returns which sends of the request may have arrived at an endpoint.
+     */
+    SendTally sends() {
+        return sends;
+    }
+
     /**
      * Adds the request to the usage of the account when an endpoint has begun to execute it; later calls do nothing.
      */
@@ -302,10 +312,12 @@
                 .with("first-millis", firstEventMillis)
                 .with("longest-gap-millis", longestGapMillis)
                 .with("target", route.targetMillis() + "+" + route.targetGapMillis())
-                .with("sends", sends)
+                .with("sends", sendCount)
+                .with("repeats", sends.repeats())
                 .with("endpoints", sentEndpoints.isEmpty() ? "-" : sentEndpoints);
         (reason.isEmpty() ? event : event.with("reason", reason)).info(LOGGER);
         context.metrics().recordAnswer(route, outcome, tookMillis);
+        context.metrics().recordRepeats(route, sends.repeats());
         whenDone.run();
         return true;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationLog.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationLog.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.edge.traffic;
 
 import java.lang.System.Logger;
+import java.util.function.UnaryOperator;
 import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.placement.EngineState;
@@ -14,9 +15,16 @@
     private static final Logger LOGGER = System.getLogger(GenerationLog.class.getName());
 
     private final String attemptId;
+    private final UnaryOperator<Event> describeBudget;
 
-    GenerationLog(String attemptId) {
+    /**
+     * Creates the log of a request.
+     *
+     * @param describeBudget adds the state of the retry budget to a line
+     */
+    GenerationLog(String attemptId, UnaryOperator<Event> describeBudget) {
         this.attemptId = attemptId;
+        this.describeBudget = describeBudget;
     }
 
     void placed(Placement placement, Generation generation) {
@@ -47,17 +55,19 @@
     }
 
     void retry(String reason, long afterEvent, boolean allowed) {
-        event("send-again")
-                .with("reason", reason)
-                .with("after", afterEvent)
-                .with("allowed", allowed)
+        describeBudget
+                .apply(event("send-again")
+                        .with("reason", reason)
+                        .with("after", afterEvent)
+                        .with("allowed", allowed))
                 .info(LOGGER);
     }
 
     void transferredElsewhere(String reason, EndpointState decodeEngine) {
-        event("hand-over-elsewhere")
-                .with("reason", reason)
-                .with("decoder", decodeEngine.endpoint().id())
+        describeBudget
+                .apply(event("hand-over-elsewhere")
+                        .with("reason", reason)
+                        .with("decoder", decodeEngine.endpoint().id()))
                 .info(LOGGER);
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -46,14 +46,6 @@
     /** Retry-After of a request refused for its queue wait, as a multiple of the estimated wait. */
     private static final double RETRY_WAIT_FACTOR = 2;
 
-    /** Callers disconnect from a stream without events after this multiple of its target, but not before 2 s. */
-    private static final int PATIENCE_TARGETS = 4;
-
-    private static final long MIN_PATIENCE_MILLIS = 2_000;
-
-    /** An engine counts as stalled after this part of the callers' patience, which leaves time to retry. */
-    private static final double STALL_PATIENCE_RATIO = 0.6;
-
     /** Cost of a retry in the retry budget: one send for the prefill and one for the decode. */
     private static final int SENDS_PER_RETRY = 2;
 
@@ -67,6 +59,7 @@
     private final Generation generation;
     private final GenerationLog log;
     private final TransferredKvCache kvCache;
+    private final CallerPatience patience;
     private final StallDetector stallDetector;
     private final Set<EndpointId> tried = new HashSet<>();
     private Cancellation current = Cancellation.NONE;
@@ -88,10 +81,11 @@
         this.pool = pool;
         this.generation = generation;
         this.lastEventId = parseLastEventId(exchange);
-        this.log = new GenerationLog(exchange.attemptId());
+        this.log = new GenerationLog(
+                exchange.attemptId(), event -> context.retryBudgets().describe(event, pool, now()));
         this.kvCache = new TransferredKvCache(caller, exchange.attemptId());
-        this.stallDetector =
-                new StallDetector(context, (long) (STALL_PATIENCE_RATIO * callerPatienceMillis()), this::onStall);
+        this.patience = CallerPatience.of(exchange.route());
+        this.stallDetector = new StallDetector(context, patience.stallMillis(), this::onStall);
     }
 
     private static long parseLastEventId(Exchange exchange) {
@@ -133,7 +127,7 @@
         placement = choice.get();
         EngineState prefillEngine = placement.prefillEngine().orElse(placement.decodeEngine());
         context.demands().recordPrefill(pool, EngineEstimate.uncachedTokens(prefillEngine, generation));
-        long limitMillis = Math.min(exchange.remainingMillis(now), callerPatienceMillis());
+        long limitMillis = Math.min(exchange.remainingMillis(now), patience.millis());
         if (executions == 0 && placement.firstEventMillis() > limitMillis) {
             exchange.failOrRefuse(
                     executions > 0,
@@ -174,9 +168,9 @@
                     engine.recordLatency(stallDetector.elapsedMillis(), estimate);
                     onPrefilled(state, handle);
                 },
-                reason -> {
+                failure -> {
                     state.recordRefusal(REFUSAL_PAUSE_MILLIS, now());
-                    onPrefillFailed(reason);
+                    onPrefillFailed(failure);
                 });
         current = prefill;
         state.recordSentBlocks(generation.parts());
@@ -190,18 +184,22 @@
             kvCache.free();
             return;
         }
+        exchange.sends().recordPrefillAccepted();
         source.health().succeeded();
         source.recordActivity(now());
         decode(now());
     }
 
-    private void onPrefillFailed(String reason) {
+    private void onPrefillFailed(CallFailure failure) {
         if (exchange.isDone()) {
             return;
         }
+        if (!failure.sent()) {
+            exchange.sends().recordNotSent();
+        }
         tried.add(placement.prefillEngine().orElseThrow().endpoint().id());
         sends++;
-        retryOrGiveUp(reason, true);
+        retryOrGiveUp(failure.reason(), true);
     }
 
     private void decode(long now) {
@@ -308,6 +306,8 @@
         if (sent) {
             countExecution(run);
             exchange.recordCrash();
+        } else {
+            exchange.sends().recordNotSent();
         }
         if (sent && (!mayRunOnAnotherEngine() || exchange.isPoison())) {
             exchange.fail(BAD_GATEWAY, "no complete response from the engine: " + reason);
@@ -369,11 +369,6 @@
                 "no complete response within the deadline of the request and the timeout of the route");
     }
 
-    private long callerPatienceMillis() {
-        return Math.max(
-                MIN_PATIENCE_MILLIS, (long) PATIENCE_TARGETS * exchange.route().targetMillis());
-    }
-
     /**
      * Abandons a stalled engine if another engine may resume the request.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
@@ -25,7 +25,7 @@
     private final long tokens;
     private final long uncachedTokens;
     private final Consumer<String> onHandle;
-    private final Consumer<String> onFailure;
+    private final Consumer<CallFailure> onFailure;
     private final ByteBuf body = Unpooled.buffer();
     private Cancellation currentSend = Cancellation.NONE;
     private boolean ended;
@@ -44,7 +44,7 @@
             long tokens,
             long uncachedTokens,
             Consumer<String> onHandle,
-            Consumer<String> onFailure) {
+            Consumer<CallFailure> onFailure) {
         this.target = target;
         this.tokens = tokens;
         this.uncachedTokens = uncachedTokens;
@@ -79,20 +79,20 @@
     public void onEnd(boolean framed) {
         finish();
         if (status != OK) {
-            onFailure.accept("engine refused the prefill: status " + status);
+            onFailure.accept(CallFailure.sent("engine refused the prefill: status " + status));
             return;
         }
         try {
             onHandle.accept(EngineCodec.handle(ByteBufUtil.getBytes(body)));
         } catch (CodecException exception) {
-            onFailure.accept(exception.getMessage());
+            onFailure.accept(CallFailure.sent(exception.getMessage()));
         }
     }
 
     @Override
     public void onFailure(CallFailure failure) {
         finish();
-        onFailure.accept("no complete response to the prefill: " + failure.reason());
+        onFailure.accept(new CallFailure(failure.sent(), "no complete response to the prefill: " + failure.reason()));
     }
 
     private void finish() {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -138,11 +138,7 @@
         boolean allowed = sends < MAX_SENDS
                 && exchange.remainingMillis(now) > 0
                 && (!mayHaveArrived || context.retryBudgets().tryRetry(pool, 1, now));
-        Event.of("send-again")
-                .with("request", exchange.attemptId())
-                .with("reason", reason)
-                .with("allowed", allowed)
-                .info(LOGGER);
+        logRetry(reason, allowed, now);
         if (allowed) {
             send(now);
         } else {
@@ -150,6 +146,14 @@
         }
     }
 
+    private void logRetry(String reason, boolean allowed, long now) {
+        Event event = Event.of("send-again")
+                .with("request", exchange.attemptId())
+                .with("reason", reason)
+                .with("allowed", allowed);
+        context.retryBudgets().describe(event, pool, now).info(LOGGER);
+    }
+
     private void onDeadline() {
         currentSend.cancel();
         if (executions == 0 && sends == 0) {
@@ -235,6 +239,7 @@
                 return;
             }
             if (!failure.sent()) {
+                exchange.sends().recordNotSent();
                 retryOrGiveUp("request not sent to the endpoint: " + failure.reason(), false);
                 return;
             }
@@ -269,11 +274,8 @@
             executions++;
             exchange.recordExecution();
             target.health().failed(true, now());
-            Event.of("send-again")
-                    .with("request", exchange.attemptId())
-                    .with("reason", "no response for " + (now() - sentMillis) + " ms")
-                    .with("endpoint", target.endpoint().id())
-                    .info(LOGGER);
+            logRetry(
+                    "no response from " + target.endpoint().id() + " for " + (now() - sentMillis) + " ms", true, now());
             send(now());
         }
 
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/budget/SendTally.java
@@ -0,0 +1,44 @@
+package org.ragwortpitch.budget;
+
+/**
+ * Counts the sends of one request that may have arrived at an endpoint, and how many of them are repeats, which the
+ * retry budget has to cover. The first run of a request and the first prefill that an engine accepts are not repeats;
+ * each other send that may have arrived is one, whether it was executed, refused or lost. Confined to one thread.
+ */
+public final class SendTally {
+
+    private int arrivals;
+    private boolean prefillAccepted;
+
+    /**
+     * Records a send, which counts as arrived unless {@link #recordNotSent()} takes it back.
+     */
+    public void recordSend() {
+        arrivals++;
+    }
+
+    /**
+     * Takes back the last send, as no connection to its endpoint could be opened.
+     */
+    public void recordNotSent() {
+        arrivals--;
+    }
+
+    /**
+     * Records that an engine accepted a prefill of the request.
+     */
+    public void recordPrefillAccepted() {
+        prefillAccepted = true;
+    }
+
+    /**
+     * Returns the number of repeats so far.
+     */
+    public int repeats() {
+        return repeats(arrivals, prefillAccepted);
+    }
+
+    private static int repeats(int arrived, boolean onePrefillExempt) {
+        return Math.max(0, arrived - 1 - (onePrefillExempt ? 1 : 0));
+    }
+}
--- a/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
+++ b/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
@@ -46,9 +46,7 @@
      * @return whether the retry is allowed
      */
     public boolean tryRetry(int sends, int daemons, long nowMillis) {
-        removeExpired(nowMillis);
-        double allowed = USED_SHARE * (ratio * requests.size() + slack / Math.max(1, daemons));
-        if (retrySends.size() + sends > allowed) {
+        if (spent(nowMillis) + sends > allowed(daemons, nowMillis)) {
             return false;
         }
         for (int send = 0; send < sends; send++) {
@@ -57,6 +55,24 @@
         return true;
     }
 
+    /**
+     * Returns the number of sends that were taken from the budget within the window.
+     */
+    public int spent(long nowMillis) {
+        removeExpired(nowMillis);
+        return retrySends.size();
+    }
+
+    /**
+     * Returns the number of sends that the budget allows within the window.
+     *
+     * @param daemons the number of daemons that share the slack
+     */
+    public double allowed(int daemons, long nowMillis) {
+        removeExpired(nowMillis);
+        return USED_SHARE * (ratio * requests.size() + slack / Math.max(1, daemons));
+    }
+
     private void removeExpired(long nowMillis) {
         removeExpiredFrom(requests, nowMillis);
         removeExpiredFrom(retrySends, nowMillis);
