--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
@@ -15,8 +15,23 @@
     private Settings() {}
 
     public static InstanceSettings of(String instance, StandinStore store, long windowMillis, long lateMillis) {
-        InstanceSettings.Bounds bounds = new InstanceSettings.Bounds(
-                3_000, 2_000, 8_000, 0.2, 50, 10_000, true, 300, windowMillis, lateMillis, 5);
+        return of(instance, store, bounds(0.2, 50, windowMillis, lateMillis));
+    }
+
+    /**
+     * Returns settings under which no request may be sent more than once.
+     */
+    public static InstanceSettings withoutRetryBudget(String instance, StandinStore store) {
+        return of(instance, store, bounds(0, 0, 300, 1_000));
+    }
+
+    private static InstanceSettings.Bounds bounds(
+            double retryRatio, double retrySlack, long windowMillis, long lateMillis) {
+        return new InstanceSettings.Bounds(
+                3_000, 2_000, 8_000, retryRatio, retrySlack, 10_000, true, 300, windowMillis, lateMillis, 5);
+    }
+
+    private static InstanceSettings of(String instance, StandinStore store, InstanceSettings.Bounds bounds) {
         return new InstanceSettings(
                 new InstanceId(instance),
                 new FailureDomain("a"),
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.edge.front.CallerRequest;
@@ -44,6 +45,7 @@
     private final TestEventLoop loops = new TestEventLoop();
     private final String id;
     private final List<HttpHeaders> executedRequests = new CopyOnWriteArrayList<>();
+    private final AtomicInteger prefills = new AtomicInteger();
     private final FrontServer server;
     private volatile Mode mode = Mode.GOOD;
     private volatile long paceMillis;
@@ -63,7 +65,7 @@
     }
 
     /**
-     * Sets how long a plain response, or each event, takes, in milliseconds.
+     * Sets how long a plain response, a prefill, or each event takes, in milliseconds.
      */
     public void pace(long millis) {
         paceMillis = millis;
@@ -83,6 +85,13 @@
         return executedRequests;
     }
 
+    /**
+     * Returns how many prefills it accepted.
+     */
+    public int prefills() {
+        return prefills.get();
+    }
+
     /**
      * Adds its entry to the store's endpoints topic.
      *
@@ -117,7 +126,9 @@
 
     private void run(CallerRequest request, CallerResponse response, HttpHeaders headers) {
         if (request.headers().contains(Headers.ROLE)) {
-            response.sendFull(200, headers, text("{\"CacheHandle\":\"h1\",\"Tokens\":1,\"Version\":1}"));
+            prefills.incrementAndGet();
+            runAfterPace(
+                    () -> response.sendFull(200, headers, text("{\"CacheHandle\":\"h1\",\"Tokens\":1,\"Version\":1}")));
             return;
         }
         executedRequests.add(request.headers());
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
@@ -0,0 +1,38 @@
+package org.ragwortpitch.edge.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import org.ragwortpitch.adapter.InstanceSettings;
+import org.ragwortpitch.identity.PoolId;
+
+/**
+ * Guards against daemons that together send more repeats in a window than the budget of the fleet allows.
+ */
+class RetryBudgetsTest {
+
+    private static final PoolId POOL = new PoolId("llm");
+
+    private static InstanceSettings.Bounds bounds(double slack, long graceMillis) {
+        return new InstanceSettings.Bounds(3_000, 2_000, graceMillis, 0.2, slack, 10_000, true, 300, 5_000, 10_000, 5);
+    }
+
+    private static int allowed(RetryBudgets budgets, long nowMillis) {
+        int allowed = 0;
+        while (budgets.tryRetry(POOL, 1, nowMillis)) {
+            allowed++;
+        }
+        return allowed;
+    }
+
+    /** Guards against a reload of the settings that forgets the repeats of the current window. */
+    @Test
+    void testReloadKeepsSpentRepeats() {
+        RetryBudgets budgets = new RetryBudgets(bounds(50, 8_000), () -> 5, () -> {});
+        assertEquals(8, allowed(budgets, 0), "four fifths of a fifth of 50");
+        budgets.configure(bounds(50, 9_000));
+        assertEquals(0, allowed(budgets, 5_000));
+        budgets.configure(bounds(100, 9_000));
+        assertEquals(8, allowed(budgets, 5_000), "the budget that the new bounds add");
+    }
+}
