Reserve every repeat of a request in the retry budget before it is sent

Callers saw nothing of it; while decode engines were down, prefill engines did the same prompts again for nobody.

Cause: each place that sends decided by itself whether its send costs anything. Two thought theirs free: a retry after a decode engine that refused the connection began with a second prefill, up to four of them for one request, and just when the budget was spent, as only then was the prefilled KV cache not handed on; and a decode engine that left during the prefill made the run start again. Others took two sends where one could arrive.

Change: a request counts which of its sends may have arrived (SendTally), and RequestSends reserves, before the first send of a plan, the repeats that the plan can cause beyond those already reserved. No send is free by its reason. A KV cache that no engine has taken is handed on, also when the engine leaves or its connection fails, which is no repeat.

Why this works: an arrival that the rule counts is a send recorded by Exchange.outbound, and each plan that leads there passes tryReserve; SendTallyTest holds the count to the rule for all orders of sends.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.ragwortpitch.adapter.Headers;
-import org.ragwortpitch.budget.SendTally;
 import org.ragwortpitch.deployment.AccountSpec;
 import org.ragwortpitch.deployment.Route;
 import org.ragwortpitch.edge.front.CallerRequest;
@@ -49,7 +48,7 @@
     private long firstEventMillis;
     private long lastChunkMillis;
     private long longestGapMillis;
-    private final SendTally sends = new SendTally();
+    private final RequestSends sends;
     private int sendCount;
     private Fingerprint fingerprint;
     private boolean executionRecorded;
@@ -65,7 +64,8 @@
             Route route,
             Optional<AccountSpec> account,
             long tokens,
-            long callerMillis) {
+            long callerMillis,
+            RequestSends sends) {
         this.context = context;
         this.request = request;
         this.response = response;
@@ -73,6 +73,7 @@
         this.route = route;
         this.account = account;
         this.tokens = tokens;
+        this.sends = sends;
         this.limitedByRouteTimeout = callerMillis - ANSWER_MARGIN_MILLIS > route.timeoutMillis();
         this.deadlineMillis =
                 request.arrivedMillis() + Math.min(callerMillis - ANSWER_MARGIN_MILLIS, route.timeoutMillis());
@@ -145,9 +146,9 @@
     }
 
     /**
-     * Returns which sends of the request may have arrived at an endpoint.
+     * Returns the sends of the request to endpoints.
      */
-    SendTally sends() {
+    RequestSends sends() {
         return sends;
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -162,8 +162,20 @@
             }
         }
         Exchange exchange = new Exchange(
-                context, request, response, attemptId, route, account, tokens, callerMillis(request, route));
-        Pool pool = deployment.pool(route.choosePool(attemptId.hashCode())).orElse(null);
+                context,
+                request,
+                response,
+                attemptId,
+                route,
+                account,
+                tokens,
+                callerMillis(request, route),
+                new RequestSends(context.retryBudgets(), route.choosePool(attemptId.hashCode())));
+        return start(exchange, generation, now);
+    }
+
+    private Cancellation start(Exchange exchange, Optional<Generation> generation, long now) {
+        Pool pool = deployment.pool(exchange.sends().pool()).orElse(null);
         if (pool == null) {
             exchange.refuse(
                     UNAVAILABLE,
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -4,14 +4,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.ragwortpitch.adapter.Headers;
-import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.edge.http.CallFailure;
@@ -46,14 +44,11 @@
     /** Retry-After of a request refused for its queue wait, as a multiple of the estimated wait. */
     private static final double RETRY_WAIT_FACTOR = 2;
 
-    /** Cost of a retry in the retry budget: one send for the prefill and one for the decode. */
-    private static final int SENDS_PER_RETRY = 2;
-
     /** Pause before the next request to an engine that refused one, in milliseconds: part of a role switch. */
     private static final long REFUSAL_PAUSE_MILLIS = 600;
 
     private final TrafficContext context;
-    private final EngineChooser chooser;
+    private final EngineSelector engines;
     private final Exchange exchange;
     private final PoolId pool;
     private final Generation generation;
@@ -67,6 +62,7 @@
     private int executions;
     private long lastEventId;
     private Placement placement;
+    private Optional<String> retryReason = Optional.empty();
 
     GenerationRun(
             TrafficContext context,
@@ -76,11 +72,11 @@
             PoolId pool,
             Generation generation) {
         this.context = context;
-        this.chooser = chooser;
+        this.engines = new EngineSelector(context.endpoints(), chooser, pool, generation);
         this.exchange = exchange;
         this.pool = pool;
         this.generation = generation;
-        this.lastEventId = parseLastEventId(exchange);
+        this.lastEventId = StreamEvent.parseId(exchange.request().headers().get(Headers.LAST_EVENT));
         this.log = new GenerationLog(
                 exchange.attemptId(), event -> context.retryBudgets().describe(event, pool, now()));
         this.kvCache = new TransferredKvCache(caller, exchange.attemptId());
@@ -88,11 +84,6 @@
         this.stallDetector = new StallDetector(context, patience.stallMillis(), this::onStall);
     }
 
-    private static long parseLastEventId(Exchange exchange) {
-        String sent = exchange.request().headers().get(Headers.LAST_EVENT);
-        return sent != null && sent.matches("\\d{1,18}") ? Long.parseLong(sent) : StreamEvent.NO_ID;
-    }
-
     void start() {
         long now = now();
         ScheduledFuture<?> deadline = context.loop()
@@ -112,46 +103,59 @@
     }
 
     private void place(long now) {
-        List<EndpointState> usable = context.endpoints().usable(pool, tried, now);
-        List<EngineState> engines = usable.stream().map(EndpointState::engine).toList();
-        Optional<Placement> choice = chooser.choose(generation, engines)
-                .or(() -> chooser.choose(
-                        generation,
-                        context.endpoints().notLeaving(pool, tried).stream()
-                                .map(EndpointState::engine)
-                                .toList()));
+        Optional<Placement> choice = engines.place(tried, now);
         if (choice.isEmpty()) {
-            exchange.failOrRefuse(executions > 0, RETRY_AFTER_MILLIS, "no engine can decode; usable: " + usable.size());
+            int others = context.endpoints().notLeaving(pool, tried).size();
+            exchange.failOrRefuse(executions > 0, RETRY_AFTER_MILLIS, "no engine can decode; other engines: " + others);
             return;
         }
         placement = choice.get();
+        boolean withPrefill = placement.prefillEngine().isPresent();
+        boolean allowed = exchange.sends().tryReserve(withPrefill ? 2 : 1, withPrefill, now);
+        retryReason.ifPresent(reason -> log.retry(reason, lastEventId, allowed));
+        if (!allowed) {
+            exchange.failOrRefuse(executions > 0, RETRY_AFTER_MILLIS, retryReason.orElse("retry budget is spent"));
+            return;
+        }
         EngineState prefillEngine = placement.prefillEngine().orElse(placement.decodeEngine());
         context.demands().recordPrefill(pool, EngineEstimate.uncachedTokens(prefillEngine, generation));
+        if (executions == 0 && refuseIfTooLate(now)) {
+            return;
+        }
+        log.placed(placement, generation);
+        if (withPrefill) {
+            prefill(placement.prefillEngine().get(), now);
+        } else {
+            decode(now);
+        }
+    }
+
+    /**
+     * Refuses the request if its first event is estimated to come too late, or to wait too long in a queue.
+     *
+     * @return whether it was refused
+     */
+    private boolean refuseIfTooLate(long now) {
         long limitMillis = Math.min(exchange.remainingMillis(now), patience.millis());
-        if (executions == 0 && placement.firstEventMillis() > limitMillis) {
-            exchange.failOrRefuse(
-                    executions > 0,
+        if (placement.firstEventMillis() > limitMillis) {
+            exchange.refuse(
+                    UNAVAILABLE,
                     RETRY_AFTER_MILLIS,
                     "estimated time to the first event is " + (long) placement.firstEventMillis()
                             + " ms, above the limit of " + limitMillis + " ms: retry later");
-            return;
+            return true;
         }
         int priority = exchange.route().priority();
-        if (executions == 0 && !placement.isAdmissible(exchange.route().targetMillis(), priority)) {
+        if (!placement.isAdmissible(exchange.route().targetMillis(), priority)) {
             long retryAfterMillis = Math.max(RETRY_AFTER_MILLIS, (long) (RETRY_WAIT_FACTOR * placement.waitMillis()));
             exchange.refuse(
                     UNAVAILABLE,
                     retryAfterMillis,
                     "estimated queue wait is " + (long) placement.waitMillis()
                             + " ms, too long for the latency target: retry later");
-            return;
-        }
-        log.placed(placement, generation);
-        if (placement.prefillEngine().isPresent()) {
-            prefill(placement.prefillEngine().get(), now);
-        } else {
-            decode(now);
+            return true;
         }
+        return false;
     }
 
     private void prefill(EngineState engine, long now) {
@@ -199,7 +203,7 @@
         }
         tried.add(placement.prefillEngine().orElseThrow().endpoint().id());
         sends++;
-        retryOrGiveUp(failure.reason(), true);
+        retryOrGiveUp(failure.reason());
     }
 
     private void decode(long now) {
@@ -207,7 +211,7 @@
         EndpointState state = context.endpoints().find(decodeEngine.endpoint().id());
         if (state == null || state.endpoint().leaving()) {
             tried.add(decodeEngine.endpoint().id());
-            place(now);
+            transferOrRetry("the decode engine is leaving");
             return;
         }
         int uncached = kvCache.isAvailable() ? 1 : EngineEstimate.uncachedTokens(decodeEngine, generation);
@@ -276,9 +280,7 @@
         }
         run.target().recordRefusal(REFUSAL_PAUSE_MILLIS, now());
         tried.add(run.target().endpoint().id());
-        if (!transferToOtherDecoder("engine refused the request before execution: status " + status)) {
-            retryOrGiveUp("engine refused the request before execution: status " + status, true);
-        }
+        transferOrRetry("engine refused the request before execution: status " + status);
     }
 
     @Override
@@ -290,7 +292,7 @@
         countExecution(run);
         if (exchange.isStreamBegun() || mayRunOnAnotherEngine()) {
             tried.add(run.target().endpoint().id());
-            retryOrGiveUp("engine answered with something other than a stream: status " + status, true);
+            retryOrGiveUp("engine answered with something other than a stream: status " + status);
         } else {
             exchange.forwardResponse(status, headers, body);
         }
@@ -311,31 +313,30 @@
         }
         if (sent && (!mayRunOnAnotherEngine() || exchange.isPoison())) {
             exchange.fail(BAD_GATEWAY, "no complete response from the engine: " + reason);
-        } else if (sent || !transferToOtherDecoder("request not sent to the engine: " + reason)) {
-            retryOrGiveUp("no complete response from the engine: " + reason, sent);
+        } else if (sent) {
+            retryOrGiveUp("no complete response from the engine: " + reason);
+        } else {
+            transferOrRetry("request not sent to the engine: " + reason);
         }
     }
 
     /**
-     * Hands a prefilled KV cache that one decode engine did not take to the decode engine with the fewest requests.
-     *
-     * @return whether a KV cache, another engine, a send and the retry budget for it were available
+     * Hands a prefilled KV cache that one decode engine did not take to another one; retries the whole request if
+     * there is no KV cache, no other engine, or no send or retry budget left.
      */
-    private boolean transferToOtherDecoder(String reason) {
+    private void transferOrRetry(String reason) {
         long now = now();
-        Optional<EndpointState> other = context.endpoints().usable(pool, tried, now).stream()
-                .filter(state -> state.endpoint().role() == EndpointRole.DECODE)
-                .min(Comparator.comparingInt(state -> state.engine().totalRunning()));
-        if (!kvCache.isAvailable()
-                || other.isEmpty()
-                || sends >= MAX_SENDS
-                || !context.retryBudgets().tryRetry(pool, 1, now)) {
-            return false;
+        Optional<EndpointState> other = engines.leastLoadedDecoder(tried, now);
+        if (kvCache.isAvailable()
+                && other.isPresent()
+                && sends < MAX_SENDS
+                && exchange.sends().tryReserve(1, false, now)) {
+            log.transferredElsewhere(reason, other.get());
+            placement = new Placement(other.get().engine(), placement.prefillEngine(), placement.firstEventMillis(), 0);
+            decode(now);
+        } else {
+            retryOrGiveUp(reason);
         }
-        log.transferredElsewhere(reason, other.get());
-        placement = new Placement(other.get().engine(), placement.prefillEngine(), placement.firstEventMillis(), 0);
-        decode(now);
-        return true;
     }
 
     private void countExecution(EngineStream run) {
@@ -349,16 +350,14 @@
         return exchange.route().resumable() && executions < exchange.route().maxEndpoints();
     }
 
-    private void retryOrGiveUp(String reason, boolean mayHaveArrived) {
+    private void retryOrGiveUp(String reason) {
         kvCache.free();
         long now = now();
-        boolean allowed = sends < MAX_SENDS
-                && exchange.remainingMillis(now) > 0
-                && (!mayHaveArrived || context.retryBudgets().tryRetry(pool, SENDS_PER_RETRY, now));
-        log.retry(reason, lastEventId, allowed);
-        if (allowed) {
+        if (sends < MAX_SENDS && exchange.remainingMillis(now) > 0) {
+            retryReason = Optional.of(reason);
             place(now);
         } else {
+            log.retry(reason, lastEventId, false);
             exchange.failOrRefuse(executions > 0, RETRY_AFTER_MILLIS, reason);
         }
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -133,11 +133,11 @@
         return state.running() + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_REQUESTS);
     }
 
-    private void retryOrGiveUp(String reason, boolean mayHaveArrived) {
+    private void retryOrGiveUp(String reason) {
         long now = now();
         boolean allowed = sends < MAX_SENDS
                 && exchange.remainingMillis(now) > 0
-                && (!mayHaveArrived || context.retryBudgets().tryRetry(pool, 1, now));
+                && exchange.sends().tryReserve(1, false, now);
         logRetry(reason, allowed, now);
         if (allowed) {
             send(now);
@@ -208,7 +208,7 @@
             }
             if (headers.contains(Headers.NOT_EXECUTED)) {
                 target.health().refused(REFUSAL_PAUSE_MILLIS, now());
-                retryOrGiveUp("endpoint refused the request before execution: status " + status, true);
+                retryOrGiveUp("endpoint refused the request before execution: status " + status);
                 return;
             }
             executions++;
@@ -240,14 +240,14 @@
             }
             if (!failure.sent()) {
                 exchange.sends().recordNotSent();
-                retryOrGiveUp("request not sent to the endpoint: " + failure.reason(), false);
+                retryOrGiveUp("request not sent to the endpoint: " + failure.reason());
                 return;
             }
             executions++;
             exchange.recordExecution();
             exchange.recordCrash();
             if (mayRunOnAnotherEndpoint() && !exchange.isPoison()) {
-                retryOrGiveUp("no complete response from the endpoint: " + failure.reason(), true);
+                retryOrGiveUp("no complete response from the endpoint: " + failure.reason());
             } else {
                 exchange.fail(BAD_GATEWAY, "no complete response from the endpoint: " + failure.reason());
             }
@@ -259,14 +259,14 @@
         private void rejectUnsealedResponse() {
             target.health().failed(false, now());
             if (mayRunOnAnotherEndpoint()) {
-                retryOrGiveUp("success status without a response seal", true);
+                retryOrGiveUp("success status without a response seal");
             } else {
                 exchange.fail(BAD_GATEWAY, "success status without a response seal");
             }
         }
 
         private void onStall() {
-            if (ended || exchange.isDone() || !context.retryBudgets().tryRetry(pool, 1, now())) {
+            if (ended || exchange.isDone() || !exchange.sends().tryReserve(1, false, now())) {
                 return;
             }
             currentSend.cancel();
@@ -284,9 +284,7 @@
          */
         private void retryOrForwardError(int errorStatus, HttpHeaders errorHeaders, ByteBuf errorBody) {
             long now = now();
-            if (sends < MAX_SENDS
-                    && choose(now).isPresent()
-                    && context.retryBudgets().tryRetry(pool, 1, now)) {
+            if (sends < MAX_SENDS && choose(now).isPresent() && exchange.sends().tryReserve(1, false, now)) {
                 send(now);
             } else {
                 exchange.forwardResponse(errorStatus, errorHeaders, errorBody);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamEvent.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamEvent.java
@@ -9,4 +9,11 @@
 record StreamEvent(long id, byte[] bytes) {
 
     static final long NO_ID = -1;
+
+    /**
+     * Returns the id in a header; {@link #NO_ID} if the header is null or not an id.
+     */
+    static long parseId(String header) {
+        return header != null && header.matches("\\d{1,18}") ? Long.parseLong(header) : NO_ID;
+    }
 }
--- a/policy/src/main/java/org/ragwortpitch/budget/SendTally.java
+++ b/policy/src/main/java/org/ragwortpitch/budget/SendTally.java
@@ -38,6 +38,16 @@
         return repeats(arrivals, prefillAccepted);
     }
 
+    /**
+     * Returns the number of repeats if further sends arrive too.
+     *
+     * @param sends       the number of further sends
+     * @param withPrefill whether the first of them is a prefill, which an engine may accept
+     */
+    public int repeatsAfter(int sends, boolean withPrefill) {
+        return repeats(arrivals + sends, prefillAccepted || withPrefill);
+    }
+
     private static int repeats(int arrived, boolean onePrefillExempt) {
         return Math.max(0, arrived - 1 - (onePrefillExempt ? 1 : 0));
     }
--- a/policy/src/test/java/org/ragwortpitch/budget/SendTallyTest.java
+++ b/policy/src/test/java/org/ragwortpitch/budget/SendTallyTest.java
@@ -36,6 +36,26 @@
         assertEquals(expected, tally.repeats());
     }
 
+    /** A plan of sends after earlier ones: d a run alone, pd a prefill and a run. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', d, 0",
+        "'', pd, 0",
+        "P, d, 0",
+        "Pr, d, 1",
+        "Pu, d, 0",
+        "Pu, pd, 1",
+        "p, pd, 1",
+        "p, d, 1",
+        "Pr, pd, 2",
+        "u, d, 0"
+    })
+    void testPlanIsCoveredForTheSendsThatMayArrive(String sends, String plan, int expected) {
+        SendTally tally = new SendTally();
+        sends.chars().forEach(send -> record(tally, send));
+        assertEquals(expected, tally.repeatsAfter(plan.length(), plan.startsWith("p")));
+    }
+
     private static void record(SendTally tally, int send) {
         tally.recordSend();
         if (send == 'u') {
