Keep what was spent of the retry budget when the settings are reloaded

Cause: RetryBudgets.configure dropped all budgets if any bound differed, and so the sends that they had counted.

Change: the budgets take the new ratio, slack and window and keep their counts.

Evidence: RetryBudgetsTest.testReloadKeepsSpentRepeats failed before (8 more repeats after the reload, expected 0).

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
@@ -31,13 +31,13 @@
     }
 
     /**
-     * Applies bounds; if they differ from the current ones, all budgets start anew with empty counts.
+     * Applies bounds to all budgets; what was spent within the window still counts.
      */
     public void configure(InstanceSettings.Bounds newBounds) {
-        if (!newBounds.equals(bounds)) {
-            bounds = newBounds;
-            budgets.clear();
-        }
+        bounds = newBounds;
+        budgets.values()
+                .forEach(budget ->
+                        budget.configure(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()));
     }
 
     /**
--- a/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
+++ b/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
@@ -13,9 +13,9 @@
     /** The fraction of the budget that is used; the rest covers daemons that join or leave, and clocks that differ. */
     private static final double USED_SHARE = 0.8;
 
-    private final double ratio;
-    private final double slack;
-    private final long spanMillis;
+    private double ratio;
+    private double slack;
+    private long spanMillis;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retrySends = new ArrayDeque<>();
 
@@ -32,6 +32,13 @@
         this.spanMillis = spanMillis;
     }
 
+    /** Changes ratio, slack and window; requests and retries of the window still count. */
+    public void configure(double newRatio, double newSlack, long newSpanMillis) {
+        ratio = newRatio;
+        slack = newSlack;
+        spanMillis = newSpanMillis;
+    }
+
     /** Records a request received from a caller. */
     public void recordRequest(long nowMillis) {
         requests.add(nowMillis);
