Give a daemon no slack of the retry budget before it knows the fleet, nor twice in a window

Cause: the slack was split by a count that one daemon keeps. A daemon that had not read the list of daemons counted itself alone and took the whole slack, for as long as that part of the store was out of reach; a restarted one had an empty window and a full share, though its predecessor had spent the same share in the same window.

Change: SlackShare gives nothing while the fleet's size is unknown, and nothing in the first window after a restart. The part in proportion to requests stays, since each request is counted by one daemon once. Log lines show the share.

RetryBudgetsTest's two new tests state the two cases.

Why this works: at each moment the shares of all incarnations that may have spent in the last window add up to the slack at most, but for daemons that are not listed yet, which have no share in their first window.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -16,6 +16,7 @@
 import java.util.function.LongSupplier;
 import org.ragwortpitch.adapter.DirectoryCodec;
 import org.ragwortpitch.adapter.InstanceSettings;
+import org.ragwortpitch.budget.SlackShare;
 import org.ragwortpitch.clock.MedianClock;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.deployment.Daemon;
@@ -136,7 +137,11 @@
         accounts = new AccountRateLimits(settings.firstStart());
         ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
         table = new EndpointTable(connections::closeIdle);
-        retryBudgets = new RetryBudgets(bounds, peers::count, metrics::recordBudgetDenial);
+        retryBudgets = new RetryBudgets(
+                bounds,
+                new SlackShare(settings.firstStart(), clockMillis.getAsLong()),
+                peers::fleetSize,
+                metrics::recordBudgetDenial);
         gateway = new Gateway(trafficContext(connections), new BufferingHttpCaller(trafficLoop, connections));
         front = closer.add(new FrontServer(
                 trafficLoop, socketAddress(settings.frontAddress()), gateway::limits, gateway, clockMillis));
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -55,6 +56,7 @@
     private final GossipRound crossDomainRound =
             new GossipRound(CROSS_DOMAIN_ROUND_MILLIS, CROSS_DOMAIN_DATAGRAMS_PER_SECOND);
     private Map<InstanceId, Daemon> listed = new HashMap<>();
+    private boolean applied;
     private final Map<InstanceId, Long> listedMillis = new HashMap<>();
     private Set<InstanceId> directIds = Set.of();
 
@@ -83,6 +85,7 @@
         Map<InstanceId, Daemon> next = new HashMap<>();
         daemons.forEach(daemon -> next.put(daemon.id(), daemon));
         listed = next;
+        applied = true;
         daemons.forEach(daemon -> listedMillis.putIfAbsent(daemon.id(), nowMillis));
         boolean direct = count() <= maxDirectFleet;
         Map<Boolean, List<Daemon>> byDirect = daemons.stream()
@@ -163,6 +166,13 @@
         return listed.size() + 1;
     }
 
+    /**
+     * Returns the number of daemons in the fleet, including this one; empty until the other daemons were listed.
+     */
+    public OptionalInt fleetSize() {
+        return applied ? OptionalInt.of(count()) : OptionalInt.empty();
+    }
+
     /**
      * Returns the number of daemons whose spending is known, including this one: those whose gossip was received, or
      * that were first listed, within the last three rounds.
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
@@ -1,9 +1,12 @@
 package org.ragwortpitch.edge.traffic;
 
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
-import java.util.function.IntSupplier;
+import java.util.OptionalInt;
+import java.util.function.Supplier;
 import org.ragwortpitch.adapter.InstanceSettings;
+import org.ragwortpitch.budget.SlackShare;
 import org.ragwortpitch.budget.WindowedRetryBudget;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
@@ -14,18 +17,22 @@
 public final class RetryBudgets {
 
     private InstanceSettings.Bounds bounds;
-    private final IntSupplier daemons;
+    private final SlackShare slackShare;
+    private final Supplier<OptionalInt> daemons;
     private final Runnable onDenied;
     private final Map<PoolId, WindowedRetryBudget> budgets = new HashMap<>();
 
     /**
      * Creates budgets; each pool gets its own at its first request.
      *
-     * @param daemons current number of daemons that share the fixed slack
-     * @param onDenied called for each retry that is not allowed
+     * @param slackShare this daemon's share of the fixed slack
+     * @param daemons    current number of daemons in the fleet; empty while it is not known
+     * @param onDenied   called for each retry that is not allowed
      */
-    public RetryBudgets(InstanceSettings.Bounds bounds, IntSupplier daemons, Runnable onDenied) {
+    public RetryBudgets(
+            InstanceSettings.Bounds bounds, SlackShare slackShare, Supplier<OptionalInt> daemons, Runnable onDenied) {
         this.bounds = bounds;
+        this.slackShare = slackShare;
         this.daemons = daemons;
         this.onDenied = onDenied;
     }
@@ -54,7 +61,7 @@
      * @return whether the retry is allowed
      */
     boolean tryRetry(PoolId pool, int sends, long nowMillis) {
-        boolean allowed = budget(pool).tryRetry(sends, daemons.getAsInt(), nowMillis);
+        boolean allowed = budget(pool).tryRetry(sends, slackShare(nowMillis), nowMillis);
         if (!allowed) {
             onDenied.run();
         }
@@ -62,13 +69,17 @@
     }
 
     /**
-     * Adds to the log line of a retry how much of the budget is spent, and how many daemons share its fixed part.
+     * Adds to the log line of a retry how much of the budget is spent, and this daemon's share of its slack.
      */
     Event describe(Event event, PoolId pool, long nowMillis) {
         WindowedRetryBudget budget = budget(pool);
         return event.with("budget-spent", budget.spent(nowMillis))
-                .with("budget", (long) budget.allowed(daemons.getAsInt(), nowMillis))
-                .with("daemons", daemons.getAsInt());
+                .with("budget", (long) budget.allowed(slackShare(nowMillis), nowMillis))
+                .with("slack-share", String.format(Locale.ROOT, "%.3f", slackShare(nowMillis)));
+    }
+
+    private double slackShare(long nowMillis) {
+        return slackShare.at(daemons.get(), bounds.retryWindowMillis(), nowMillis);
     }
 
     private WindowedRetryBudget budget(PoolId pool) {
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.ragwortpitch.adapter.InstanceSettings;
+import org.ragwortpitch.budget.SlackShare;
 import org.ragwortpitch.identity.PoolId;
 
 /**
@@ -17,6 +19,10 @@
         return new InstanceSettings.Bounds(3_000, 2_000, graceMillis, 0.2, slack, 10_000, true, 300, 5_000, 10_000, 5);
     }
 
+    private static RetryBudgets started(boolean firstStart, OptionalInt daemons) {
+        return new RetryBudgets(bounds(50, 8_000), new SlackShare(firstStart, 0), () -> daemons, () -> {});
+    }
+
     private static int allowed(RetryBudgets budgets, long nowMillis) {
         int allowed = 0;
         while (budgets.tryRetry(POOL, 1, nowMillis)) {
@@ -28,11 +34,25 @@
     /** Guards against a reload of the settings that forgets the repeats of the current window. */
     @Test
     void testReloadKeepsSpentRepeats() {
-        RetryBudgets budgets = new RetryBudgets(bounds(50, 8_000), () -> 5, () -> {});
+        RetryBudgets budgets = started(true, OptionalInt.of(5));
         assertEquals(8, allowed(budgets, 0), "four fifths of a fifth of 50");
         budgets.configure(bounds(50, 9_000));
         assertEquals(0, allowed(budgets, 5_000));
         budgets.configure(bounds(100, 9_000));
         assertEquals(8, allowed(budgets, 5_000), "the budget that the new bounds add");
     }
+
+    /** Guards against a daemon that spends the whole slack until it has read which others there are. */
+    @Test
+    void testDaemonThatDoesNotKnowTheOthersHasNoSlack() {
+        assertEquals(0, allowed(started(true, OptionalInt.empty()), 0));
+    }
+
+    /** Guards against slack that is spent by a daemon before its restart and again after it, in one window. */
+    @Test
+    void testRestartedDaemonHasNoSlackForAWindow() {
+        RetryBudgets budgets = started(false, OptionalInt.of(5));
+        assertEquals(0, allowed(budgets, 10_000));
+        assertEquals(8, allowed(budgets, 10_001));
+    }
 }
--- a/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
+++ b/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
@@ -48,12 +48,12 @@
     /**
      * Takes the sends of a retry from the budget. Takes nothing if the budget is too low.
      *
-     * @param sends   the number of sends that the retry takes
-     * @param daemons the number of daemons that share the slack
+     * @param sends      the number of sends that the retry takes
+     * @param slackShare the part of the slack that this daemon may spend, from 0 to 1
      * @return whether the retry is allowed
      */
-    public boolean tryRetry(int sends, int daemons, long nowMillis) {
-        if (spent(nowMillis) + sends > allowed(daemons, nowMillis)) {
+    public boolean tryRetry(int sends, double slackShare, long nowMillis) {
+        if (spent(nowMillis) + sends > allowed(slackShare, nowMillis)) {
             return false;
         }
         for (int send = 0; send < sends; send++) {
@@ -73,11 +73,11 @@
     /**
      * Returns the number of sends that the budget allows within the window.
      *
-     * @param daemons the number of daemons that share the slack
+     * @param slackShare the part of the slack that this daemon may spend, from 0 to 1
      */
-    public double allowed(int daemons, long nowMillis) {
+    public double allowed(double slackShare, long nowMillis) {
         removeExpired(nowMillis);
-        return USED_SHARE * (ratio * requests.size() + slack / Math.max(1, daemons));
+        return USED_SHARE * (ratio * requests.size() + slack * slackShare);
     }
 
     private void removeExpired(long nowMillis) {
--- a/policy/src/test/java/org/ragwortpitch/budget/WindowedRetryBudgetTest.java
+++ b/policy/src/test/java/org/ragwortpitch/budget/WindowedRetryBudgetTest.java
@@ -13,17 +13,17 @@
 
     private final WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 50, 10_000);
 
-    private int allowed(int tries, int daemons, long nowMillis) {
+    private int allowed(int tries, double slackShare, long nowMillis) {
         int allowed = 0;
         for (int index = 0; index < tries; index++) {
-            allowed += budget.tryRetry(1, daemons, nowMillis) ? 1 : 0;
+            allowed += budget.tryRetry(1, slackShare, nowMillis) ? 1 : 0;
         }
         return allowed;
     }
 
     @Test
     void testSlackIsSplitOverDaemons() {
-        assertEquals(8, allowed(100, 5, 0), "four fifths of a fifth of 50");
+        assertEquals(8, allowed(100, 0.2, 0), "four fifths of a fifth of 50");
     }
 
     @Test
@@ -31,20 +31,20 @@
         for (int index = 0; index < 100; index++) {
             budget.recordRequest(0);
         }
-        assertEquals(24, allowed(100, 5, 0));
+        assertEquals(24, allowed(100, 0.2, 0));
     }
 
     @Test
     void testRetryLeavesTheWindowAfterItsSpan() {
-        allowed(100, 5, 0);
-        assertFalse(budget.tryRetry(1, 5, 10_000));
-        assertTrue(budget.tryRetry(1, 5, 10_001));
+        allowed(100, 0.2, 0);
+        assertFalse(budget.tryRetry(1, 0.2, 10_000));
+        assertTrue(budget.tryRetry(1, 0.2, 10_001));
     }
 
     @Test
     void testRetryOfTwoSendsNeedsBudgetForBoth() {
-        assertEquals(7, allowed(7, 5, 0));
-        assertFalse(budget.tryRetry(2, 5, 0));
-        assertTrue(budget.tryRetry(1, 5, 0));
+        assertEquals(7, allowed(7, 0.2, 0));
+        assertFalse(budget.tryRetry(2, 0.2, 0));
+        assertTrue(budget.tryRetry(1, 0.2, 0));
     }
 }
