Count a repeat in the retry budget from its reservation until a window after it has arrived

Change: the sends of a retry are reserved, and settled when an engine has answered with an event or the request has ended; the charge stays for a window after that, and what was reserved but not sent is returned.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -319,6 +319,7 @@
         (reason.isEmpty() ? event : event.with("reason", reason)).info(LOGGER);
         context.metrics().recordAnswer(route, outcome, tookMillis);
         context.metrics().recordRepeats(route, sends.repeats());
+        sends.settle(context.clockMillis().getAsLong());
         whenDone.run();
         return true;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -237,6 +237,7 @@
             return;
         }
         countExecution(run);
+        exchange.sends().settle(now());
         if (!exchange.isStreamBegun()) {
             if (placement.prefillEngine().isEmpty()) {
                 run.target().engine().recordLatency(stallDetector.elapsedMillis(), placement.firstEventMillis());
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RequestSends.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RequestSends.java
@@ -12,7 +12,8 @@
     private final RetryBudgets budgets;
     private final PoolId pool;
     private final SendTally tally = new SendTally();
-    private int reserved;
+    private int covered;
+    private int settled;
 
     RequestSends(RetryBudgets budgets, PoolId pool) {
         this.budgets = budgets;
@@ -31,17 +32,28 @@
      * @return whether the sends are allowed
      */
     boolean tryReserve(int sends, boolean withPrefill, long nowMillis) {
-        int missing = tally.repeatsAfter(sends, withPrefill) - reserved;
+        int missing = tally.repeatsAfter(sends, withPrefill) - covered;
         if (missing <= 0) {
             return true;
         }
-        if (!budgets.tryRetry(pool, missing, nowMillis)) {
+        if (!budgets.tryReserve(pool, missing, nowMillis)) {
             return false;
         }
-        reserved += missing;
+        covered += missing;
         return true;
     }
 
+    /**
+     * Ends the reservations of all sends so far: an endpoint has answered the last one, or the request has ended.
+     */
+    void settle(long nowMillis) {
+        if (covered > settled) {
+            budgets.settle(pool, covered - settled, repeats() - settled, nowMillis);
+            covered = repeats();
+            settled = covered;
+        }
+    }
+
     /**
      * Records a send, which counts as arrived unless {@link #recordNotSent()} takes it back.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
@@ -55,19 +55,29 @@
     }
 
     /**
-     * Takes a retry out of the budget if it has enough left.
+     * Reserves the sends of a retry if the budget has enough left.
      *
      * @param sends sends that the retry needs
      * @return whether the retry is allowed
      */
-    boolean tryRetry(PoolId pool, int sends, long nowMillis) {
-        boolean allowed = budget(pool).tryRetry(sends, slackShare(nowMillis), nowMillis);
+    boolean tryReserve(PoolId pool, int sends, long nowMillis) {
+        boolean allowed = budget(pool).tryReserve(sends, slackShare(nowMillis), nowMillis);
         if (!allowed) {
             onDenied.run();
         }
         return allowed;
     }
 
+    /**
+     * Ends a reservation.
+     *
+     * @param reservedSends the number of reserved sends
+     * @param madeSends     how many of them were made
+     */
+    void settle(PoolId pool, int reservedSends, int madeSends, long nowMillis) {
+        budget(pool).settle(reservedSends, madeSends, nowMillis);
+    }
+
     /**
      * Adds to the log line of a retry how much of the budget is spent, and this daemon's share of its slack.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
@@ -25,7 +25,8 @@
 
     private static int allowed(RetryBudgets budgets, long nowMillis) {
         int allowed = 0;
-        while (budgets.tryRetry(POOL, 1, nowMillis)) {
+        while (budgets.tryReserve(POOL, 1, nowMillis)) {
+            budgets.settle(POOL, 1, 1, nowMillis);
             allowed++;
         }
         return allowed;
--- a/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
+++ b/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
@@ -18,6 +18,7 @@
     private long spanMillis;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retrySends = new ArrayDeque<>();
+    private int reserved;
 
     /**
      * Creates a budget.
@@ -46,28 +47,40 @@
     }
 
     /**
-     * Takes the sends of a retry from the budget. Takes nothing if the budget is too low.
+     * Reserves the sends of a retry. They count until {@link #settle}, as they may arrive at any time until then, and
+     * for a window after it. Reserves nothing if the budget is too low.
      *
      * @param sends      the number of sends that the retry takes
      * @param slackShare the part of the slack that this daemon may spend, from 0 to 1
      * @return whether the retry is allowed
      */
-    public boolean tryRetry(int sends, double slackShare, long nowMillis) {
+    public boolean tryReserve(int sends, double slackShare, long nowMillis) {
         if (spent(nowMillis) + sends > allowed(slackShare, nowMillis)) {
             return false;
         }
-        for (int send = 0; send < sends; send++) {
+        reserved += sends;
+        return true;
+    }
+
+    /**
+     * Ends a reservation, whose sends have arrived by now if they were made.
+     *
+     * @param reservedSends the number of reserved sends
+     * @param madeSends     how many of them were made; the others are returned to the budget
+     */
+    public void settle(int reservedSends, int madeSends, long nowMillis) {
+        reserved -= reservedSends;
+        for (int send = 0; send < madeSends; send++) {
             retrySends.add(nowMillis);
         }
-        return true;
     }
 
     /**
-     * Returns the number of sends that were taken from the budget within the window.
+     * Returns the number of sends that are reserved, or were settled within the window.
      */
     public int spent(long nowMillis) {
         removeExpired(nowMillis);
-        return retrySends.size();
+        return reserved + retrySends.size();
     }
 
     /**
--- a/policy/src/test/java/org/ragwortpitch/budget/WindowedRetryBudgetHistoryTest.java
+++ b/policy/src/test/java/org/ragwortpitch/budget/WindowedRetryBudgetHistoryTest.java
@@ -165,7 +165,11 @@
         }
 
         boolean tryRetry(long nowMillis) {
-            return budget.tryRetry(1, slackShare.at(fleetSize, WINDOW_MILLIS, nowMillis), nowMillis);
+            boolean allowed = budget.tryReserve(1, slackShare.at(fleetSize, WINDOW_MILLIS, nowMillis), nowMillis);
+            if (allowed) {
+                budget.settle(1, 1, nowMillis);
+            }
+            return allowed;
         }
     }
 }
--- a/policy/src/test/java/org/ragwortpitch/budget/WindowedRetryBudgetTest.java
+++ b/policy/src/test/java/org/ragwortpitch/budget/WindowedRetryBudgetTest.java
@@ -16,7 +16,10 @@
     private int allowed(int tries, double slackShare, long nowMillis) {
         int allowed = 0;
         for (int index = 0; index < tries; index++) {
-            allowed += budget.tryRetry(1, slackShare, nowMillis) ? 1 : 0;
+            if (budget.tryReserve(1, slackShare, nowMillis)) {
+                budget.settle(1, 1, nowMillis);
+                allowed++;
+            }
         }
         return allowed;
     }
@@ -37,14 +40,25 @@
     @Test
     void testRetryLeavesTheWindowAfterItsSpan() {
         allowed(100, 0.2, 0);
-        assertFalse(budget.tryRetry(1, 0.2, 10_000));
-        assertTrue(budget.tryRetry(1, 0.2, 10_001));
+        assertFalse(budget.tryReserve(1, 0.2, 10_000));
+        assertTrue(budget.tryReserve(1, 0.2, 10_001));
     }
 
     @Test
     void testRetryOfTwoSendsNeedsBudgetForBoth() {
         assertEquals(7, allowed(7, 0.2, 0));
-        assertFalse(budget.tryRetry(2, 0.2, 0));
-        assertTrue(budget.tryRetry(1, 0.2, 0));
+        assertFalse(budget.tryReserve(2, 0.2, 0));
+        assertTrue(budget.tryReserve(1, 0.2, 0));
+    }
+
+    /** Guards against retries that are charged when decided, but arrive together with those of the next window. */
+    @Test
+    void testReservationCountsUntilAWindowAfterItIsSettled() {
+        assertTrue(budget.tryReserve(8, 0.2, 0));
+        assertFalse(budget.tryReserve(1, 0.2, 20_000));
+        budget.settle(8, 6, 20_000);
+        assertEquals(2, allowed(100, 0.2, 20_000), "sends that were not made are returned");
+        assertEquals(0, allowed(100, 0.2, 30_000));
+        assertEquals(8, allowed(100, 0.2, 30_001));
     }
 }
