Leave the predecessor's part of the retry budget untouched after a restart

Cause: a restarted daemon counts its requests anew and spent the full ratio for them, though the incarnation before may have spent its own in the same window. If repeats arrive in a burst, as at the end of a stall, and the daemons are killed just then, ratio and slack are spent once before and the ratio once more after it.

Change: in the first window after a restart a daemon uses the fifth of the ratio that others leave unused. SlackShare becomes RetryShares, which gives both parts.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -16,7 +16,7 @@
 import java.util.function.LongSupplier;
 import org.ragwortpitch.adapter.DirectoryCodec;
 import org.ragwortpitch.adapter.InstanceSettings;
-import org.ragwortpitch.budget.SlackShare;
+import org.ragwortpitch.budget.RetryShares;
 import org.ragwortpitch.clock.MedianClock;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.deployment.Daemon;
@@ -139,7 +139,7 @@
         table = new EndpointTable(connections::closeIdle);
         retryBudgets = new RetryBudgets(
                 bounds,
-                new SlackShare(settings.firstStart(), clockMillis.getAsLong()),
+                new RetryShares(settings.firstStart(), clockMillis.getAsLong()),
                 peers::fleetSize,
                 metrics::recordBudgetDenial);
         gateway = new Gateway(trafficContext(connections), new BufferingHttpCaller(trafficLoop, connections));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
@@ -6,7 +6,8 @@
 import java.util.OptionalInt;
 import java.util.function.Supplier;
 import org.ragwortpitch.adapter.InstanceSettings;
-import org.ragwortpitch.budget.SlackShare;
+import org.ragwortpitch.budget.RetryShare;
+import org.ragwortpitch.budget.RetryShares;
 import org.ragwortpitch.budget.WindowedRetryBudget;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
@@ -17,7 +18,7 @@
 public final class RetryBudgets {
 
     private InstanceSettings.Bounds bounds;
-    private final SlackShare slackShare;
+    private final RetryShares shares;
     private final Supplier<OptionalInt> daemons;
     private final Runnable onDenied;
     private final Map<PoolId, WindowedRetryBudget> budgets = new HashMap<>();
@@ -25,14 +26,14 @@
     /**
      * Creates budgets; each pool gets its own at its first request.
      *
-     * @param slackShare this daemon's share of the fixed slack
+     * @param shares     this daemon's share of the budgets
      * @param daemons    current number of daemons in the fleet; empty while it is not known
      * @param onDenied   called for each retry that is not allowed
      */
     public RetryBudgets(
-            InstanceSettings.Bounds bounds, SlackShare slackShare, Supplier<OptionalInt> daemons, Runnable onDenied) {
+            InstanceSettings.Bounds bounds, RetryShares shares, Supplier<OptionalInt> daemons, Runnable onDenied) {
         this.bounds = bounds;
-        this.slackShare = slackShare;
+        this.shares = shares;
         this.daemons = daemons;
         this.onDenied = onDenied;
     }
@@ -61,7 +62,7 @@
      * @return whether the retry is allowed
      */
     boolean tryReserve(PoolId pool, int sends, long nowMillis) {
-        boolean allowed = budget(pool).tryReserve(sends, slackShare(nowMillis), nowMillis);
+        boolean allowed = budget(pool).tryReserve(sends, share(nowMillis), nowMillis);
         if (!allowed) {
             onDenied.run();
         }
@@ -84,12 +85,14 @@
     Event describe(Event event, PoolId pool, long nowMillis) {
         WindowedRetryBudget budget = budget(pool);
         return event.with("budget-spent", budget.spent(nowMillis))
-                .with("budget", (long) budget.allowed(slackShare(nowMillis), nowMillis))
-                .with("slack-share", String.format(Locale.ROOT, "%.3f", slackShare(nowMillis)));
+                .with("budget", (long) budget.allowed(share(nowMillis), nowMillis))
+                .with(
+                        "slack-share",
+                        String.format(Locale.ROOT, "%.3f", share(nowMillis).ofSlack()));
     }
 
-    private double slackShare(long nowMillis) {
-        return slackShare.at(daemons.get(), bounds.retryWindowMillis(), nowMillis);
+    private RetryShare share(long nowMillis) {
+        return shares.at(daemons.get(), bounds.retryWindowMillis(), nowMillis);
     }
 
     private WindowedRetryBudget budget(PoolId pool) {
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
@@ -5,7 +5,7 @@
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.ragwortpitch.adapter.InstanceSettings;
-import org.ragwortpitch.budget.SlackShare;
+import org.ragwortpitch.budget.RetryShares;
 import org.ragwortpitch.identity.PoolId;
 
 /**
@@ -20,7 +20,7 @@
     }
 
     private static RetryBudgets started(boolean firstStart, OptionalInt daemons) {
-        return new RetryBudgets(bounds(50, 8_000), new SlackShare(firstStart, 0), () -> daemons, () -> {});
+        return new RetryBudgets(bounds(50, 8_000), new RetryShares(firstStart, 0), () -> daemons, () -> {});
     }
 
     private static int allowed(RetryBudgets budgets, long nowMillis) {
@@ -49,11 +49,14 @@
         assertEquals(0, allowed(started(true, OptionalInt.empty()), 0));
     }
 
-    /** Guards against slack that is spent by a daemon before its restart and again after it, in one window. */
+    /** Guards against a budget that is spent by a daemon before its restart and again after it, in one window. */
     @Test
-    void testRestartedDaemonHasNoSlackForAWindow() {
+    void testRestartedDaemonLeavesItsPredecessorsPartForAWindow() {
         RetryBudgets budgets = started(false, OptionalInt.of(5));
-        assertEquals(0, allowed(budgets, 10_000));
-        assertEquals(8, allowed(budgets, 10_001));
+        for (int request = 0; request < 100; request++) {
+            budgets.recordRequest(POOL, 10_000);
+        }
+        assertEquals(4, allowed(budgets, 10_000), "a fifth of 0.2 x 100, and none of the slack");
+        assertEquals(24 - 4, allowed(budgets, 10_001), "four fifths of 0.2 x 100 and of a fifth of 50");
     }
 }
--- a/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
+++ b/policy/src/main/java/org/ragwortpitch/budget/WindowedRetryBudget.java
@@ -10,9 +10,6 @@
  */
 public final class WindowedRetryBudget {
 
-    /** The fraction of the budget that is used; the rest covers daemons that join or leave, and clocks that differ. */
-    private static final double USED_SHARE = 0.8;
-
     private double ratio;
     private double slack;
     private long spanMillis;
@@ -50,12 +47,12 @@
      * Reserves the sends of a retry. They count until {@link #settle}, as they may arrive at any time until then, and
      * for a window after it. Reserves nothing if the budget is too low.
      *
-     * @param sends      the number of sends that the retry takes
-     * @param slackShare the part of the slack that this daemon may spend, from 0 to 1
+     * @param sends the number of sends that the retry takes
+     * @param share the part of the budget that this daemon may spend
      * @return whether the retry is allowed
      */
-    public boolean tryReserve(int sends, double slackShare, long nowMillis) {
-        if (spent(nowMillis) + sends > allowed(slackShare, nowMillis)) {
+    public boolean tryReserve(int sends, RetryShare share, long nowMillis) {
+        if (spent(nowMillis) + sends > allowed(share, nowMillis)) {
             return false;
         }
         reserved += sends;
@@ -86,11 +83,11 @@
     /**
      * Returns the number of sends that the budget allows within the window.
      *
-     * @param slackShare the part of the slack that this daemon may spend, from 0 to 1
+     * @param share the part of the budget that this daemon may spend
      */
-    public double allowed(double slackShare, long nowMillis) {
+    public double allowed(RetryShare share, long nowMillis) {
         removeExpired(nowMillis);
-        return USED_SHARE * (ratio * requests.size() + slack * slackShare);
+        return ratio * requests.size() * share.ofRatio() + slack * share.ofSlack();
     }
 
     private void removeExpired(long nowMillis) {
--- a/policy/src/test/java/org/ragwortpitch/budget/WindowedRetryBudgetHistoryTest.java
+++ b/policy/src/test/java/org/ragwortpitch/budget/WindowedRetryBudgetHistoryTest.java
@@ -6,13 +6,14 @@
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.Random;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Guards against a fleet whose daemons together send more repeats in a window than ratio and slack allow, while daemons
- * restart, join unseen by others, start without a list of the others, or reload their settings. Nearly all sends fail.
+ * restart, join unseen by others, start without a list of the others, or reload their settings, and sends arrive late.
+ * Nearly all sends fail.
  */
 class WindowedRetryBudgetHistoryTest {
 
@@ -32,39 +33,50 @@
 
     private static final int SPARE_DAEMONS = 2;
 
+    /** What the daemons of a history do differently. */
+    private enum Variant {
+        NONE,
+        /** A restarted daemon counts itself alone, with a whole share, until it has read the list of the others. */
+        WHOLE_SHARE_FROM_THE_START,
+        /** Repeats are charged when they are decided. */
+        SETTLED_WHEN_RESERVED
+    }
+
     @ParameterizedTest
     @CsvSource({"1, 5000", "5001, 5000"})
     void testNoWindowExceedsTheBudget(long firstSeed, int historyCount) {
         for (long seed = firstSeed; seed < firstSeed + historyCount; seed++) {
-            double used = new History(seed, true).run();
+            double used = new History(seed, Variant.NONE).run();
             assertTrue(used <= 1, "seed " + seed + ": repeats are " + used + " of the budget in some window");
         }
     }
 
-    /** Shows that the histories are hard enough: with a whole share from the start, some exceed the budget. */
-    @Test
-    void testShareFromTheStartExceedsTheBudget() {
+    /** Shows that the histories are hard enough: without one of the guards, some exceed the budget. */
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void testFleetWithoutAGuardExceedsTheBudget(Variant variant) {
         boolean exceeded = false;
         for (long seed = 1; seed <= 500 && !exceeded; seed++) {
-            exceeded = new History(seed, false).run() > 1;
+            exceeded = new History(seed, variant).run() > 1;
         }
-        assertTrue(exceeded, "no history exceeded the budget although restarted daemons spent their share again");
+        assertTrue(exceeded, "no history exceeded the budget with " + variant);
     }
 
     /** One random history. */
     private static final class History {
 
         private final Random random;
-        private final boolean guarded;
+        private final Variant variant;
         private final List<Member> members = new ArrayList<>();
         private final int[] requests = new int[HISTORY_MILLIS / STEP_MILLIS];
         private final int[] repeats = new int[HISTORY_MILLIS / STEP_MILLIS];
+        private long stalledUntilMillis;
 
-        History(long seed, boolean guarded) {
+        History(long seed, Variant variant) {
             this.random = new Random(seed);
-            this.guarded = guarded;
+            this.variant = variant;
             for (int daemon = 0; daemon < DAEMONS; daemon++) {
-                members.add(new Member(guarded, true, 0));
+                members.add(new Member(variant, true, 0));
             }
         }
 
@@ -73,6 +85,9 @@
                 long nowMillis = (long) step * STEP_MILLIS;
                 injectFaults(nowMillis);
                 sendRequests(step, nowMillis);
+                for (Member member : members) {
+                    repeats[step] += member.deliver(nowMillis);
+                }
             }
             return maxUsed();
         }
@@ -88,11 +103,14 @@
                     default -> member.budget.configure(RATIO, SLACK, WINDOW_MILLIS);
                 }
             }
+            if (random.nextInt(300) == 0) {
+                stalledUntilMillis = nowMillis + random.nextInt(6_000);
+            }
             if (random.nextInt(300) == 0) {
                 members.forEach(member -> member.restart(nowMillis + 500 + random.nextInt(1_500), 0));
             }
             if (running < DAEMONS + SPARE_DAEMONS && random.nextInt(300) == 0) {
-                members.add(new Member(guarded, false, nowMillis));
+                members.add(new Member(variant, false, nowMillis));
             }
         }
 
@@ -107,7 +125,7 @@
                 }
                 member.budget.recordRequest(nowMillis);
                 for (int retry = 0; retry < 4 && random.nextInt(10) > 0; retry++) {
-                    repeats[step] += member.tryRetry(nowMillis) ? 1 : 0;
+                    member.tryRetry(nowMillis, Math.max(stalledUntilMillis, nowMillis + random.nextInt(1_000)));
                 }
             }
         }
@@ -137,24 +155,27 @@
     /** A simulated daemon. */
     private static final class Member {
 
-        private final boolean guarded;
+        private final Variant variant;
+        private final List<Long> arrivals = new ArrayList<>();
         private WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, SLACK, WINDOW_MILLIS);
-        private SlackShare slackShare;
+        private RetryShares shares;
         private OptionalInt fleetSize = OptionalInt.empty();
         private long runningFromMillis;
         private long listUnreadUntilMillis;
 
-        Member(boolean guarded, boolean firstStart, long nowMillis) {
-            this.guarded = guarded;
-            this.slackShare = new SlackShare(firstStart, nowMillis);
+        Member(Variant variant, boolean firstStart, long nowMillis) {
+            this.variant = variant;
+            this.shares = new RetryShares(firstStart, nowMillis);
             this.runningFromMillis = nowMillis;
         }
 
         void restart(long fromMillis, long unreadMillis) {
             runningFromMillis = Math.max(runningFromMillis, fromMillis);
             listUnreadUntilMillis = Math.max(listUnreadUntilMillis, runningFromMillis + unreadMillis);
-            fleetSize = guarded ? OptionalInt.empty() : OptionalInt.of(1);
-            slackShare = new SlackShare(!guarded, runningFromMillis);
+            boolean wholeShare = variant == Variant.WHOLE_SHARE_FROM_THE_START;
+            fleetSize = wholeShare ? OptionalInt.of(1) : OptionalInt.empty();
+            shares = new RetryShares(wholeShare, runningFromMillis);
+            arrivals.clear();
             budget = new WindowedRetryBudget(RATIO, SLACK, WINDOW_MILLIS);
         }
 
@@ -164,12 +185,24 @@
             }
         }
 
-        boolean tryRetry(long nowMillis) {
-            boolean allowed = budget.tryReserve(1, slackShare.at(fleetSize, WINDOW_MILLIS, nowMillis), nowMillis);
-            if (allowed) {
-                budget.settle(1, 1, nowMillis);
+        void tryRetry(long nowMillis, long arrivalMillis) {
+            if (budget.tryReserve(1, shares.at(fleetSize, WINDOW_MILLIS, nowMillis), nowMillis)) {
+                arrivals.add(arrivalMillis);
+                if (variant == Variant.SETTLED_WHEN_RESERVED) {
+                    budget.settle(1, 1, nowMillis);
+                }
+            }
+        }
+
+        /** Returns how many repeats arrive now. */
+        int deliver(long nowMillis) {
+            int before = arrivals.size();
+            arrivals.removeIf(arrival -> arrival <= nowMillis);
+            int delivered = before - arrivals.size();
+            if (variant != Variant.SETTLED_WHEN_RESERVED) {
+                budget.settle(delivered, delivered, nowMillis);
             }
-            return allowed;
+            return delivered;
         }
     }
 }
