Count a daemon that is heard but not listed yet when the slack of the retry budget is split

While the store is out of reach of some daemons and others join, those that were there go on with too large a part.

Change: gossip of a daemon that is not listed counts it for the fleet's size until it is listed, or silent for 30 s.

--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -36,6 +36,9 @@
     /** Largest fleet in which all daemons are direct peers; exceeds the users' seven daemons and those they add. */
     private static final int MAX_DIRECT_FLEET = 20;
 
+    /** Silence after which an unlisted daemon no longer counts, in milliseconds: longer than the window of a budget. */
+    private static final long UNLISTED_MILLIS = 30_000;
+
     /** Shortest round of gossip to direct peers, in milliseconds. */
     private static final long DIRECT_ROUND_MILLIS = 200;
 
@@ -57,6 +60,7 @@
             new GossipRound(CROSS_DOMAIN_ROUND_MILLIS, CROSS_DOMAIN_DATAGRAMS_PER_SECOND);
     private Map<InstanceId, Daemon> listed = new HashMap<>();
     private boolean applied;
+    private final Map<InstanceId, Long> unlistedMillis = new HashMap<>();
     private final Map<InstanceId, Long> listedMillis = new HashMap<>();
     private Set<InstanceId> directIds = Set.of();
 
@@ -85,6 +89,7 @@
         Map<InstanceId, Daemon> next = new HashMap<>();
         daemons.forEach(daemon -> next.put(daemon.id(), daemon));
         listed = next;
+        unlistedMillis.keySet().removeAll(listed.keySet());
         applied = true;
         daemons.forEach(daemon -> listedMillis.putIfAbsent(daemon.id(), nowMillis));
         boolean direct = count() <= maxDirectFleet;
@@ -166,11 +171,22 @@
         return listed.size() + 1;
     }
 
+    /**
+     * Records gossip of a daemon that is not listed yet, such as one that joined while the store was out of reach. It
+     * counts for the fleet's size until it is listed, or silent for a while.
+     */
+    public void recordUnlisted(InstanceId peer, long nowMillis) {
+        if (!listed.containsKey(peer)) {
+            unlistedMillis.put(peer, nowMillis);
+        }
+    }
+
     /**
      * Returns the number of daemons in the fleet, including this one; empty until the other daemons were listed.
      */
-    public OptionalInt fleetSize() {
-        return applied ? OptionalInt.of(count()) : OptionalInt.empty();
+    public OptionalInt fleetSize(long nowMillis) {
+        unlistedMillis.values().removeIf(heardMillis -> nowMillis - heardMillis > UNLISTED_MILLIS);
+        return applied ? OptionalInt.of(count() + unlistedMillis.size()) : OptionalInt.empty();
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -108,6 +108,8 @@
             receiveDomainDigest(peer, gossip);
         } else if (peers.isDirect(peer)) {
             receivePeerState(peer, gossip);
+        } else {
+            peers.recordUnlisted(peer, context.clockMillis().getAsLong());
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
@@ -4,7 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalInt;
-import java.util.function.Supplier;
+import java.util.function.LongFunction;
 import org.ragwortpitch.adapter.InstanceSettings;
 import org.ragwortpitch.budget.RetryShare;
 import org.ragwortpitch.budget.RetryShares;
@@ -19,7 +19,7 @@
 
     private InstanceSettings.Bounds bounds;
     private final RetryShares shares;
-    private final Supplier<OptionalInt> daemons;
+    private final LongFunction<OptionalInt> daemons;
     private final Runnable onDenied;
     private final Map<PoolId, WindowedRetryBudget> budgets = new HashMap<>();
 
@@ -27,11 +27,11 @@
      * Creates budgets; each pool gets its own at its first request.
      *
      * @param shares     this daemon's share of the budgets
-     * @param daemons    current number of daemons in the fleet; empty while it is not known
+     * @param daemons    returns the number of daemons in the fleet at a time in milliseconds; empty while not known
      * @param onDenied   called for each retry that is not allowed
      */
     public RetryBudgets(
-            InstanceSettings.Bounds bounds, RetryShares shares, Supplier<OptionalInt> daemons, Runnable onDenied) {
+            InstanceSettings.Bounds bounds, RetryShares shares, LongFunction<OptionalInt> daemons, Runnable onDenied) {
         this.bounds = bounds;
         this.shares = shares;
         this.daemons = daemons;
@@ -92,7 +92,7 @@
     }
 
     private RetryShare share(long nowMillis) {
-        return shares.at(daemons.get(), bounds.retryWindowMillis(), nowMillis);
+        return shares.at(daemons.apply(nowMillis), bounds.retryWindowMillis(), nowMillis);
     }
 
     private WindowedRetryBudget budget(PoolId pool) {
--- a/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.identity.FailureDomain;
@@ -74,4 +75,16 @@
         assertTrue(view.recordGossip(A, 3_000, 1, true, 1_001));
         assertTrue(view.recordGossip(A, 3_000, 2, true, 1_050));
     }
+
+    /** Guards against shares of a fleet-wide budget that are too large as long as a new daemon's entry is not read. */
+    @Test
+    void testUnlistedDaemonCountsForTheFleetWhileItIsHeard() {
+        assertEquals(OptionalInt.empty(), view.fleetSize(0));
+        listBoth();
+        view.recordUnlisted(A, 0);
+        assertEquals(OptionalInt.of(3), view.fleetSize(0));
+        view.recordUnlisted(new InstanceId("c"), 0);
+        assertEquals(OptionalInt.of(4), view.fleetSize(30_000));
+        assertEquals(OptionalInt.of(3), view.fleetSize(30_001));
+    }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/RetryBudgetsTest.java
@@ -20,7 +20,7 @@
     }
 
     private static RetryBudgets started(boolean firstStart, OptionalInt daemons) {
-        return new RetryBudgets(bounds(50, 8_000), new RetryShares(firstStart, 0), () -> daemons, () -> {});
+        return new RetryBudgets(bounds(50, 8_000), new RetryShares(firstStart, 0), nowMillis -> daemons, () -> {});
     }
 
     private static int allowed(RetryBudgets budgets, long nowMillis) {
