Let a restarted daemon spend no account's rate before it knows its share

Change: after a restart the share is 0 until the fleet's size is known; unlisted daemons that are heard count too.

A limited account's callers get 429 from a daemon that restarts while the list cannot be read; before, they were served beyond the limit.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/AccountRateLimits.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/AccountRateLimits.java
@@ -20,15 +20,17 @@
     private final Map<AccountId, SharedTokenBucket> buckets = new HashMap<>();
     private final Map<AccountId, Long> directPeerSpent = new HashMap<>();
     private final double initialFillRatio;
-    private double share = 1;
+    private double share;
 
     /**
-     * Creates rate limits without any account; {@link #apply} adds them.
+     * Creates rate limits without any account; {@link #apply} adds them. After a restart, nothing may be spent until
+     * {@link #setShare} tells the daemon's share.
      *
      * @param firstStart whether nothing can have been spent before, so that new buckets start full
      */
     public AccountRateLimits(boolean firstStart) {
         this.initialFillRatio = firstStart ? 1 : RESTART_FILL_RATIO;
+        this.share = firstStart ? 1 : 0;
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -89,7 +89,7 @@
             byte[] digest = writer.domainDigest(peers.crossDomainRound().stepCount(), avoidedInDomain(now), now);
             otherDomains.forEach(daemon -> send.accept(daemon.peerAddress(), digest));
         }
-        context.accounts().setShare((double) peers.knownCount(now) / peers.count(), now);
+        peers.fleetSize(now).ifPresent(size -> context.accounts().setShare((double) peers.knownCount(now) / size, now));
     }
 
     /**
