Start the daemon of EdgeTest after the endpoints' entries are written

EdgeTest.testDirectoryListsTheDaemonUntilItDrains was listed as known to fail: seen once, 503 instead of 200, as the drain began before the endpoints were read. Cause: the daemon was started before the entries were put, so its first read could be of an empty topic, and serve() waits for readiness, which that read grants. All tests of the class share the race. The entries are now written before the start; readiness then means that they are known. All checks stay as they are.

--- a/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
@@ -55,11 +54,6 @@
     private final Edge edge = closer.add(new Edge(
             Settings.of("front-1", store, 300, 1_000), 0, TestEventLoop.CLOCK_MILLIS, System::currentTimeMillis));
 
-    @BeforeEach
-    void start() throws Exception {
-        edge.start();
-    }
-
     @AfterEach
     void close() {
         closer.close();
@@ -69,6 +63,8 @@
         store.put("keyed.op", "config", DEPLOYMENT.formatted(7, "check", 1_000_000));
         first.list(store, pool, firstStage, "ready");
         second.list(store, pool, secondStage, "ready");
+        // Started after the entries are written, so that the daemon knows the endpoints once it is ready.
+        edge.start();
         await(() -> status(edge.readyAddress(), "/readiness") == 200);
         await(() -> call("check", "nobody").statusCode() == 401);
     }
@@ -117,6 +113,7 @@
 
     @Test
     void testDaemonIsNotReadyBeforeTheFirstConfiguration() {
+        edge.start();
         assertEquals(503, status(edge.readyAddress(), "/readiness"));
         assertEquals(503, call("check", "key").statusCode());
     }
