Be ready only once the other daemons are known

Cause: a daemon was ready as soon as it had the configuration and the endpoints. Without the list of daemons it can't gossip, has no slack for retries and, after a restart, may not spend any account's rate, so callers are better served elsewhere.

Evidence: EdgeTest.testDaemonIsNotReadyBeforeItKnowsTheOthers failed before the change was made (readiness 200 while the topic of the daemons answered 503), and passes with it.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -308,7 +308,10 @@
     }
 
     private boolean isReady() {
-        return !stopping.get() && endpointsKnown && gateway.deployment().isPresent();
+        return !stopping.get()
+                && endpointsKnown
+                && peers.fleetSize(clockMillis.getAsLong()).isPresent()
+                && gateway.deployment().isPresent();
     }
 
     private SmallAnswer readiness() {
--- a/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EdgeTest.java
@@ -15,6 +15,7 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.ragwortpitch.adapter.DaemonCodec;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.Settings;
@@ -118,6 +119,19 @@
         assertEquals(503, call("check", "key").statusCode());
     }
 
+    /** Guards against callers of a daemon that can't tell its share of the fleet's budgets. */
+    @Test
+    void testDaemonIsNotReadyBeforeItKnowsTheOthers() throws Exception {
+        store.downTopic(DaemonCodec.TOPIC);
+        store.put("keyed.op", "config", DEPLOYMENT.formatted(7, "check", 1_000_000));
+        first.list(store, "app", "", "ready");
+        edge.start();
+        await(() -> call("check", "nobody").statusCode() == 401);
+        assertEquals(503, status(edge.readyAddress(), "/readiness"));
+        store.downTopic("");
+        await(() -> status(edge.readyAddress(), "/readiness") == 200);
+    }
+
     @Test
     void testServiceReceivesTheClientAccount() throws Exception {
         serve("app", "", "");
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -44,6 +44,7 @@
     private final Map<String, Long> memberExpiryMillis = new LinkedHashMap<>();
     private final FrontServer server;
     private volatile boolean down;
+    private volatile String downTopic = "";
     private volatile long ignoredBeforeMillis = Long.MIN_VALUE;
     private String holder;
     private long generation;
@@ -68,6 +69,13 @@
         down = isDown;
     }
 
+    /**
+     * Refuses all calls that name a topic with 503 from now on; serves all topics if the name is empty.
+     */
+    public void downTopic(String topic) {
+        downTopic = topic;
+    }
+
     /**
      * Never responds to the long polls that are waiting now, as if their network path had failed silently.
      */
@@ -102,11 +110,11 @@
     }
 
     private Cancellation handle(CallerRequest request, CallerResponse response) {
-        if (down) {
+        QueryStringDecoder query = new QueryStringDecoder(request.target());
+        if (down || query.parameters().getOrDefault("Topic", List.of()).contains(downTopic)) {
             response.sendFull(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
             return Cancellation.NONE;
         }
-        QueryStringDecoder query = new QueryStringDecoder(request.target());
         try {
             switch (query.path()) {
                 case "/log-newest" -> json(response, newest(field(query, "Topic")));
