Use half of the retry budget in each incarnation of a daemon

After a restart only a fifth was left.

Change: each incarnation uses half, restarted or not; a restarted one has no slack for a window, as before. However often daemons restart, the repeats of a window stay within half of ratio and slack before and half of the ratio after.

--- a/policy/src/main/java/org/ragwortpitch/budget/RetryShares.java
+++ b/policy/src/main/java/org/ragwortpitch/budget/RetryShares.java
@@ -4,16 +4,13 @@
 
 /**
  * Determines the part of a retry budget that one daemon may spend, so that all daemons together keep to the budget
- * although none knows what the others spend. An incarnation doesn't know what the one before it spent, so in the first
- * window after a restart it leaves the predecessor's part untouched.
+ * although none knows what the others spend. An incarnation doesn't know either what the one before it spent in the
+ * same window, so each uses half of the ratio, and none of the slack in the first window after a restart.
  */
 public final class RetryShares {
 
-    /** The part of the budget that daemons use in the long run. */
-    private static final double USED_SHARE = 0.8;
-
-    /** The part that a restarted daemon uses in its first window: what its predecessor left. */
-    private static final double RESTARTED_SHARE = 0.2;
+    /** The part of the budget that an incarnation uses; what the one before it used adds to that for one window. */
+    private static final double USED_SHARE = 0.5;
 
     private final boolean firstStart;
     private final long startMillis;
@@ -36,9 +33,8 @@
      * @param spanMillis the length of the budget's window, in milliseconds
      */
     public RetryShare at(OptionalInt daemons, long spanMillis, long nowMillis) {
-        if (!firstStart && nowMillis - startMillis <= spanMillis) {
-            return new RetryShare(RESTARTED_SHARE, 0);
-        }
-        return new RetryShare(USED_SHARE, daemons.isPresent() ? USED_SHARE / daemons.getAsInt() : 0);
+        boolean restarted = !firstStart && nowMillis - startMillis <= spanMillis;
+        boolean hasSlack = daemons.isPresent() && !restarted;
+        return new RetryShare(USED_SHARE, hasSlack ? USED_SHARE / daemons.getAsInt() : 0);
     }
 }
