Test that gossip of an unlisted daemon counts it for the fleet's size

PeerViewTest covered the count alone, not that gossip leads to it. Daemons of the same failure domain count the newcomer; in fleets with relays those of other domains count it once they have read its entry.

--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -162,6 +162,18 @@
                 .count();
     }
 
+    /** Guards against shares of the fleet's budgets that leave out a daemon whose entry is not read yet. */
+    @Test
+    void testDaemonThatIsNotListedYetCountsOnceItGossips() {
+        Member joined = new Member("a3");
+        members.put("a3", joined);
+        joined.applyListing();
+        advance(SECOND_MILLIS);
+        assertEquals(OptionalInt.of(5), members.get("a1").peers.fleetSize(nowMillis));
+        assertEquals(
+                OptionalInt.of(4), members.get("b1").peers.fleetSize(nowMillis), "its relay doesn't tell it apart");
+    }
+
     /**
      * A daemon that delivers datagrams to the others without sockets.
      */
