--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RetryBudgets.java
@@ -26,9 +26,9 @@
     /**
      * Creates budgets; each pool gets its own at its first request.
      *
-     * @param shares     this daemon's share of the budgets
-     * @param daemons    returns the number of daemons in the fleet at a time in milliseconds; empty while not known
-     * @param onDenied   called for each retry that is not allowed
+     * @param shares   this daemon's share of the budgets
+     * @param daemons  returns the number of daemons in the fleet at a time in milliseconds; empty while not known
+     * @param onDenied called for each retry that is not allowed
      */
     public RetryBudgets(
             InstanceSettings.Bounds bounds, RetryShares shares, LongFunction<OptionalInt> daemons, Runnable onDenied) {
