Log the loss of an endpoint also under requests without a body

Change: the event suspect is logged for all of them, with a dash for the crashes, as they are not counted.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -182,6 +182,15 @@
                             responded,
                             prefixBlocks,
                             context.clockMillis().getAsLong());
+        } else {
+            Event.of("suspect")
+                    .with("request", attemptId)
+                    .with("fingerprint", PoisonRequests.fingerprint(request).value())
+                    .with("crashes", "-")
+                    .with("endpoint", target.endpoint().id())
+                    .with("born", target.endpoint().startMillis())
+                    .with("responded", responded)
+                    .info(LOGGER);
         }
     }
 
