--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -7,6 +7,8 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -53,8 +55,10 @@
     private volatile long paceMillis;
     private final AtomicInteger crashRequests = new AtomicInteger();
     private final List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
+    private final Set<CallerResponse> pending = ConcurrentHashMap.newKeySet();
     private volatile String rateLimit = "";
     private volatile String crashBlock = "";
+    private volatile String crashPath = "";
     private volatile long startMillis = 1;
 
     public StandinEndpoint(String id) {
@@ -104,7 +108,23 @@
     }
 
     /**
-     * Returns how many requests with the block of {@link #crashOn} have arrived, whether it was up or not.
+     * Crashes when it begins to execute a request with a path.
+     */
+    public void crashOnPath(String path) {
+        crashPath = path;
+    }
+
+    /**
+     * Crashes now, whatever it executes.
+     */
+    public void crash() {
+        mode = Mode.CRASHED;
+        pending.forEach(CallerResponse::abort);
+        pending.clear();
+    }
+
+    /**
+     * Returns how many requests have arrived that crash it, whether it was up or not.
      */
     public int crashRequests() {
         return crashRequests.get();
@@ -189,7 +209,8 @@
 
     private boolean crashesOn(CallerRequest request) {
         String blocks = request.headers().get(Headers.PREFIX_BLOCKS, "");
-        return !crashBlock.isEmpty() && ("," + blocks).contains("," + crashBlock + ":");
+        return !crashPath.isEmpty() && crashPath.equals(request.path())
+                || !crashBlock.isEmpty() && ("," + blocks).contains("," + crashBlock + ":");
     }
 
     private void run(CallerRequest request, CallerResponse response, HttpHeaders headers) {
@@ -201,8 +222,8 @@
         }
         executedRequests.add(request.headers());
         if (crashesOn(request)) {
-            mode = Mode.CRASHED;
             response.abort();
+            crash();
             return;
         }
         if (mode != Mode.UNSIGNED) {
@@ -216,7 +237,12 @@
             response.beginStream(200, headers);
             response.abort();
         } else {
-            runAfterPace(() -> response.sendFull(200, headers, text("done by " + id)));
+            pending.add(response);
+            runAfterPace(() -> {
+                if (pending.remove(response)) {
+                    response.sendFull(200, headers, text("done by " + id));
+                }
+            });
         }
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -83,6 +83,21 @@
         return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /**
+     * Sends a request without a body; those with the same path differ in nothing but their id.
+     */
+    public CompletableFuture<HttpResponse<String>> look(Edge edge, String path) {
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + edge.frontAddress().getPort() + path))
+                .timeout(Duration.ofSeconds(CALLER_SECONDS))
+                .header("Authorization", "Bearer key")
+                .header(Headers.ATTEMPT, UUID.randomUUID().toString())
+                .header(Headers.DEADLINE, String.valueOf(CALLER_SECONDS * 1_000))
+                .GET()
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     @Override
     public void close() {
         closer.close();
