Track what crashes endpoints by one mechanism, also requests without a body

Cause: requests without a body were left out of the tracking of poison requests, since many of them are alike, and look-ups have none. Behind it, the crashes of a request were counted by each daemon and merged by the highest count, told in one round and not kept, so that three daemons with one crash each stayed at one, and a daemon that started later knew nothing.

Change: a request is one more possible cause of a crash, the most specific one, beside the prefix blocks of its prompt. Crashes are sets by incarnation of the endpoint that all daemons merge and keep telling, and a verdict goes into the store. A sound look-up that many callers send alike is protected as sound blocks are: by requests that complete, and by moments instead of crashes if it was served shortly before. The check comes before each send, also to the next endpoint. Responses of plain services refute a crash too. Only a success acquits: an endpoint that fails a part of its requests doesn't execute them.

Why it works: a verdict follows from the merged crashes alone, so each daemon that hears of three of them refuses the request, whoever saw them.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -35,9 +35,9 @@
 import org.ragwortpitch.edge.peer.GossipSocket;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.edge.traffic.AccountRateLimits;
+import org.ragwortpitch.edge.traffic.EndpointCrashCodec;
 import org.ragwortpitch.edge.traffic.EndpointPermits;
 import org.ragwortpitch.edge.traffic.EndpointTable;
-import org.ragwortpitch.edge.traffic.EngineCrashCodec;
 import org.ragwortpitch.edge.traffic.Gateway;
 import org.ragwortpitch.edge.traffic.GossipContext;
 import org.ragwortpitch.edge.traffic.Gossiper;
@@ -48,11 +48,11 @@
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
-import org.ragwortpitch.identity.PrefixBlockId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.logging.Event;
-import org.ragwortpitch.poison.EngineCrash;
+import org.ragwortpitch.poison.CrashCause;
+import org.ragwortpitch.poison.EndpointCrash;
 import org.ragwortpitch.scaling.PoolDemand;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 
@@ -96,7 +96,7 @@
     private final PeerView peers;
     private final AccountRateLimits accounts;
     private final PoolDemands demands = new PoolDemands();
-    private final PoisonRequests poison = new PoisonRequests(this::recordPoisonBlock);
+    private final PoisonRequests poison = new PoisonRequests(this::recordPoison);
     private final EndpointTable table;
     private final RetryBudgets retryBudgets;
     private final Gateway gateway;
@@ -320,16 +320,16 @@
         }
     }
 
-    private void recordPoisonBlock(PrefixBlockId block, Collection<EngineCrash> crashes) {
-        byte[] record = EngineCrashCodec.encodeRecord(crashes, clockMillis.getAsLong(), medianMillis());
-        controlLoop.execute(() -> control.recordPoisonBlock(block, record));
+    private void recordPoison(CrashCause cause, Collection<EndpointCrash> crashes) {
+        byte[] record = EndpointCrashCodec.encodeRecord(crashes, clockMillis.getAsLong(), medianMillis());
+        controlLoop.execute(() -> control.recordPoison(cause, record));
     }
 
-    private void applyPoisonBlock(byte[] record) {
+    private void applyPoison(byte[] record) {
         long now = clockMillis.getAsLong();
         try {
-            EngineCrashCodec.decodeRecord(record, now, medianMillis())
-                    .forEach(crash -> poison.mergeEngineCrash(crash, now));
+            EndpointCrashCodec.decodeRecord(record, now, medianMillis())
+                    .forEach(crash -> poison.mergeCrash(crash, now));
         } catch (InvalidProtocolBufferException exception) {
             Event.of("poison-block-unreadable")
                     .with("reason", exception.getMessage())
@@ -390,8 +390,8 @@
         }
 
         @Override
-        public void onPoisonBlock(byte[] crashes) {
-            trafficLoop.execute(() -> applyPoisonBlock(crashes));
+        public void onPoison(byte[] crashes) {
+            trafficLoop.execute(() -> applyPoison(crashes));
         }
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -26,9 +26,9 @@
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
-import org.ragwortpitch.identity.PrefixBlockId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
 import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.poison.CrashCause;
 import org.ragwortpitch.scaling.PoolDemand;
 
 /**
@@ -58,8 +58,8 @@
     /** Pause between reads of the daemons' topic, in milliseconds; batches the entries of a starting fleet. */
     private static final long DAEMONS_PAUSE_MILLIS = 500;
 
-    /** Long-poll timeout for poison blocks, in milliseconds: the longest possible, as gossip tells of them first. */
-    private static final long POISON_BLOCKS_WAIT_MILLIS = 30_000;
+    /** Long-poll timeout for causes of crashes, in milliseconds: the longest one, as gossip tells of them first. */
+    private static final long POISON_WAIT_MILLIS = 30_000;
 
     private static final long RECORD_RETRY_MILLIS = 500;
 
@@ -169,7 +169,7 @@
                 Math.max(ENDPOINTS_READ_MARGIN_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_READ_MARGIN_MILLIS);
         endpointsFollower = follow(StoreCodec.ENDPOINTS_TOPIC, endpointsPauseMillis, 0, this::applyEndpoints);
         follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, DAEMONS_WAIT_MILLIS, this::applyDaemons);
-        follow(StoreCodec.POISON_BLOCKS_TOPIC, 0, POISON_BLOCKS_WAIT_MILLIS, this::applyPoisonBlocks);
+        follow(StoreCodec.POISON_TOPIC, 0, POISON_WAIT_MILLIS, this::applyPoison);
         loop.scheduleWithFixedDelay(
                 this::dropMissing, MISSING_CHECK_MILLIS, MISSING_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         duties.start();
@@ -183,39 +183,39 @@
     }
 
     /**
-     * Records the crashes that a prefix block has caused, for daemons that start when no other is left. Retries while
-     * the store is unreachable.
+     * Records the crashes that a request or prefix block has caused, for daemons that start when no other is left.
+     * Retries while the store is unreachable.
      *
      * @param crashes encoded, as the listener gets them
      */
-    public void recordPoisonBlock(PrefixBlockId block, byte[] crashes) {
-        byte[] record = StoreCodec.encodeKeyed(block.toString(), crashes);
+    public void recordPoison(CrashCause cause, byte[] crashes) {
+        byte[] record = StoreCodec.encodeKeyed(cause.toString(), crashes);
         store.call(
-                StoreCodec.append(StoreCodec.POISON_BLOCKS_TOPIC, List.of(record)),
+                StoreCodec.append(StoreCodec.POISON_TOPIC, List.of(record)),
                 0,
                 response -> {
                     if (!response.isOk()) {
-                        logNotWritten(block, "status " + response.status());
+                        logNotWritten(cause, "status " + response.status());
                     }
                 },
                 reason -> {
-                    logNotWritten(block, reason);
-                    loop.schedule(() -> recordPoisonBlock(block, crashes), RECORD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+                    logNotWritten(cause, reason);
+                    loop.schedule(() -> recordPoison(cause, crashes), RECORD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
                 });
     }
 
-    private static void logNotWritten(PrefixBlockId block, String reason) {
+    private static void logNotWritten(CrashCause cause, String reason) {
         Event.of("poison-block-not-written")
-                .with("block", block)
+                .with("block", cause)
                 .with("reason", reason)
                 .warn(LOGGER);
     }
 
-    private void applyPoisonBlocks(List<KeyedRecord> records, boolean snapshot) {
+    private void applyPoison(List<KeyedRecord> records, boolean snapshot) {
         records.stream()
                 .map(KeyedRecord::value)
                 .filter(value -> value.length > 0)
-                .forEach(listener::onPoisonBlock);
+                .forEach(listener::onPoison);
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
@@ -36,7 +36,7 @@
     /**
      * Called with each record of the crashes that a prefix block has caused.
      *
-     * @param crashes the crashes as {@link Control#recordPoisonBlock} got them
+     * @param crashes the crashes as {@link Control#recordPoison} got them
      */
-    void onPoisonBlock(byte[] crashes);
+    void onPoison(byte[] crashes);
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
@@ -18,6 +18,9 @@
 
     private static final int OK = 200;
 
+    /** An engine that has sent events for this long does not crash on the request, in milliseconds. */
+    private static final long JUST_BEGUN_MILLIS = 250;
+
     private final EndpointState target;
     private final long tokens;
     private final long uncachedTokens;
@@ -28,6 +31,7 @@
     private boolean ended;
     private boolean prefilling = true;
     private boolean hasEvents;
+    private long firstEventMillis;
     private boolean counted;
     private boolean connectionLost;
     private LongSupplier clockMillis = () -> 0;
@@ -54,6 +58,13 @@
         return hasEvents;
     }
 
+    /**
+     * Returns whether the engine has sent no events, or only since a short time, so that it may crash on the request.
+     */
+    boolean hasJustBegun(long nowMillis) {
+        return !hasEvents || nowMillis - firstEventMillis < JUST_BEGUN_MILLIS;
+    }
+
     /**
      * Returns whether the connection ended before the response.
      */
@@ -110,7 +121,10 @@
         if (events.isEmpty()) {
             return;
         }
-        hasEvents = true;
+        if (!hasEvents) {
+            hasEvents = true;
+            firstEventMillis = clockMillis.getAsLong();
+        }
         if (prefilling) {
             prefilling = false;
             target.engine().prefillEnded(uncachedTokens);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -19,7 +19,7 @@
 import org.ragwortpitch.edge.front.CallerResponse;
 import org.ragwortpitch.edge.http.OutboundRequest;
 import org.ragwortpitch.logging.Event;
-import org.ragwortpitch.poison.Fingerprint;
+import org.ragwortpitch.poison.CrashCause;
 
 /**
  * One admitted request of a caller with its deadline and its response, which ends the exchange. Confined to the traffic
@@ -37,6 +37,8 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    private static final int MIN_NON_SUCCESS_STATUS = 300;
+
     private final TrafficContext context;
     private final CallerRequest request;
     private final CallerResponse response;
@@ -52,7 +54,8 @@
     private long longestGapMillis;
     private final RequestSends sends;
     private int sendCount;
-    private Fingerprint fingerprint;
+    private final List<PrefixBlock> prefixBlocks;
+    private List<CrashCause> crashCauses;
     private boolean executionRecorded;
     private boolean streamBegun;
     private boolean done;
@@ -67,6 +70,7 @@
             Optional<AccountSpec> account,
             long tokens,
             long callerMillis,
+            List<PrefixBlock> prefixBlocks,
             RequestSends sends) {
         this.context = context;
         this.request = request;
@@ -75,6 +79,7 @@
         this.route = route;
         this.account = account;
         this.tokens = tokens;
+        this.prefixBlocks = prefixBlocks;
         this.sends = sends;
         this.limitedByRouteTimeout = callerMillis - ANSWER_MARGIN_MILLIS > route.timeoutMillis();
         this.deadlineMillis =
@@ -168,46 +173,54 @@
     /**
      * Records that the connection to an endpoint broke while the endpoint executed the request.
      *
-     * @param responded    whether the endpoint had begun to respond
-     * @param prefixBlocks the prefix blocks of the prompt that other requests may share
+     * @param responded  whether the endpoint had begun to respond
+     * @param mayBeCause whether the endpoint may have crashed on this request
      */
-    void recordCrash(EndpointState target, boolean responded, List<PrefixBlock> prefixBlocks) {
-        // Requests without a body often share a fingerprint, so that one would block others.
-        if (request.body().isReadable()) {
-            context.poisonRequests()
-                    .recordCrash(
-                            fingerprint(),
-                            attemptId,
-                            target.endpoint(),
-                            responded,
-                            prefixBlocks,
-                            context.clockMillis().getAsLong());
-        } else {
-            Event.of("suspect")
-                    .with("request", attemptId)
-                    .with("fingerprint", PoisonRequests.fingerprint(request).value())
-                    .with("crashes", "-")
-                    .with("endpoint", target.endpoint().id())
-                    .with("born", target.endpoint().startMillis())
-                    .with("responded", responded)
-                    .info(LOGGER);
-        }
+    void recordCrash(EndpointState target, boolean responded, boolean mayBeCause) {
+        context.poisonRequests()
+                .recordCrash(
+                        attemptId,
+                        target.endpoint(),
+                        responded,
+                        mayBeCause ? crashCauses() : List.of(),
+                        context.clockMillis().getAsLong());
     }
 
     /**
-     * Returns whether too many endpoints failed while they executed this request for it to be executed again.
+     * Records that an endpoint has begun to respond to the request.
+     *
+     * @param sentMillis when the request was sent, in milliseconds of the monotonic clock
      */
-    boolean isPoison() {
-        return request.body().isReadable()
-                && context.poisonRequests()
-                        .isRefused(fingerprint(), context.clockMillis().getAsLong());
+    void recordResponse(EndpointState target, long sentMillis) {
+        context.poisonRequests()
+                .recordResponse(
+                        target.endpoint(), sentMillis, context.clockMillis().getAsLong());
     }
 
-    private Fingerprint fingerprint() {
-        if (fingerprint == null) {
-            fingerprint = PoisonRequests.fingerprint(request);
+    /**
+     * Returns why the request must not be sent to another endpoint, as it crashes those that execute it; empty if it
+     * is not known to.
+     */
+    Optional<String> poisonReason() {
+        return context.poisonRequests()
+                .poisonIn(crashCauses(), context.clockMillis().getAsLong())
+                .map(Exchange::describe);
+    }
+
+    private static String describe(CrashCause poison) {
+        return switch (poison.kind()) {
+            case BLOCK -> "prefix block " + poison + " of the prompt has crashed several engines: send the request"
+                    + " without it";
+            case REQUEST -> "several endpoints have crashed while they executed this request: it is not executed"
+                    + " again";
+        };
+    }
+
+    private List<CrashCause> crashCauses() {
+        if (crashCauses == null) {
+            crashCauses = PoisonRequests.causes(request, prefixBlocks);
         }
-        return fingerprint;
+        return crashCauses;
     }
 
     /**
@@ -215,7 +228,9 @@
      */
     void forwardResponse(int status, HttpHeaders headers, ByteBuf body) {
         if (finish("passed", status, "")) {
-            recordSuccess();
+            if (status < MIN_NON_SUCCESS_STATUS) {
+                recordSuccess();
+            }
             response.sendFull(status, ForwardHeaders.ofResponse(headers), body);
         }
     }
@@ -251,10 +266,8 @@
     }
 
     private void recordSuccess() {
-        if (fingerprint != null) {
-            context.poisonRequests()
-                    .recordSuccess(fingerprint, context.clockMillis().getAsLong());
-        }
+        context.poisonRequests()
+                .recordCompletion(crashCauses(), context.clockMillis().getAsLong());
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.lang.System.Logger;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.ragwortpitch.adapter.CodecException;
@@ -170,6 +171,7 @@
                 account,
                 tokens,
                 callerMillis(request, route),
+                generation.map(Generation::sharedParts).orElse(List.of()),
                 new RequestSends(context.retryBudgets(), route.choosePool(attemptId.hashCode())));
         return start(exchange, generation, now);
     }
@@ -183,11 +185,9 @@
                     "the pool of the route is not configured: add it or change the route");
             return Cancellation.NONE;
         }
-        if (exchange.isPoison()) {
-            exchange.refuse(
-                    UNAVAILABLE,
-                    0,
-                    "too many endpoints failed while they executed this request: it is not executed again");
+        Optional<String> poisonReason = exchange.poisonReason();
+        if (poisonReason.isPresent()) {
+            exchange.refuse(UNAVAILABLE, 0, poisonReason.get());
             return Cancellation.NONE;
         }
         context.retryBudgets().recordRequest(pool.id(), now);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
@@ -1,16 +1,13 @@
 package org.ragwortpitch.edge.traffic;
 
 import java.util.Optional;
-import org.ragwortpitch.deployment.Generation;
-import org.ragwortpitch.identity.PrefixBlockId;
 import org.ragwortpitch.placement.Placement;
 
 /**
  * Checks before a generation is sent to an engine, which refuse it if it cannot be served. Confined to the traffic
  * thread.
  */
-record GenerationChecks(
-        PoisonRequests poisonRequests, Exchange exchange, Generation generation, CallerPatience patience) {
+record GenerationChecks(Exchange exchange, CallerPatience patience) {
 
     /** Retry-After of a refusal, in milliseconds: about half a typical generation, after which slots are free. */
     static final long RETRY_AFTER_MILLIS = 400;
@@ -21,18 +18,15 @@
     private static final int UNAVAILABLE = 503;
 
     /**
-     * Refuses the request if its prompt has a block that crashes engines.
+     * Refuses the request if it crashes the engines that execute it.
      *
      * @param mayHaveExecuted whether an engine may have begun to execute it
      * @return whether it was refused
      */
-    boolean refuseIfPoison(boolean mayHaveExecuted, long nowMillis) {
-        Optional<PrefixBlockId> block = poisonRequests.poisonBlockIn(generation.sharedParts(), nowMillis);
-        block.ifPresent(poison -> exchange.failOrRefuse(
-                mayHaveExecuted,
-                0,
-                "prefix block " + poison + " of the prompt has crashed several engines: send the request without it"));
-        return block.isPresent();
+    boolean refuseIfPoison(boolean mayHaveExecuted) {
+        Optional<String> reason = exchange.poisonReason();
+        reason.ifPresent(poison -> exchange.failOrRefuse(mayHaveExecuted, 0, poison));
+        return reason.isPresent();
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -73,7 +73,7 @@
                 exchange.attemptId(), event -> context.retryBudgets().describe(event, pool, now()));
         this.kvCache = new TransferredKvCache(caller, exchange.attemptId());
         CallerPatience patience = CallerPatience.of(exchange.route());
-        this.checks = new GenerationChecks(context.poisonRequests(), exchange, generation, patience);
+        this.checks = new GenerationChecks(exchange, patience);
         this.stallDetector = new StallDetector(context, patience.stallMillis(), this::onStall);
     }
 
@@ -96,7 +96,7 @@
     }
 
     private void place(long now) {
-        if (checks.refuseIfPoison(executions > 0, now)) {
+        if (checks.refuseIfPoison(executions > 0)) {
             return;
         }
         Optional<Placement> choice = engines.place(tried, now);
@@ -181,7 +181,7 @@
     }
 
     private void decode(long now) {
-        if (checks.refuseIfPoison(executions > 0, now)) {
+        if (checks.refuseIfPoison(executions > 0)) {
             return;
         }
         EngineState decodeEngine = placement.decodeEngine();
@@ -220,7 +220,7 @@
                 run.target().engine().recordLatency(stallDetector.elapsedMillis(), placement.firstEventMillis());
             }
             run.target().health().succeeded();
-            recordResponse(run);
+            exchange.recordResponse(run.target(), run.sentMillis());
             exchange.beginStream(200, run.headers());
             context.metrics()
                     .recordFirstEvent(
@@ -249,7 +249,6 @@
         if (rest.length > 0) {
             exchange.forwardChunk(rest);
         }
-        context.poisonRequests().recordCompletion(generation.sharedParts(), now());
         exchange.endStream();
     }
 
@@ -270,7 +269,7 @@
         }
         run.target().health().failed(false, now());
         countExecution(run);
-        recordResponse(run);
+        exchange.recordResponse(run.target(), run.sentMillis());
         if (exchange.isStreamBegun() || mayRunOnAnotherEngine()) {
             tried.add(run.target().endpoint().id());
             retryOrGiveUp("engine answered with something other than a stream: status " + status);
@@ -288,14 +287,11 @@
         tried.add(run.target().endpoint().id());
         if (sent) {
             countExecution(run);
-            exchange.recordCrash(run.target(), run.hasEvents(), generation.sharedParts());
-            if (run.isConnectionLost() && !run.hasEvents()) {
-                context.poisonRequests().recordLostPrompt(run.target().endpoint(), generation.sharedParts(), now());
-            }
+            exchange.recordCrash(run.target(), run.hasEvents(), run.isConnectionLost() && run.hasJustBegun(now()));
         } else {
             exchange.sends().recordNotSent();
         }
-        if (sent && (!mayRunOnAnotherEngine() || exchange.isPoison())) {
+        if (sent && !mayRunOnAnotherEngine()) {
             exchange.fail(BAD_GATEWAY, "no complete response from the engine: " + reason);
         } else if (sent) {
             retryOrGiveUp("no complete response from the engine: " + reason);
@@ -329,10 +325,6 @@
                 .recordSent(context.endpoints().find(engine.endpoint().id()));
     }
 
-    private void recordResponse(EngineStream run) {
-        context.poisonRequests().recordResponse(run.target().endpoint(), run.sentMillis(), now());
-    }
-
     private void countExecution(EngineStream run) {
         if (run.markCounted()) {
             executions++;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -13,7 +13,6 @@
 import org.ragwortpitch.pacing.LimitReading;
 import org.ragwortpitch.placement.PeerLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.AccountSpend;
-import org.ragwortpitch.wire.generated.GossipProtocol.CrashedRequest;
 import org.ragwortpitch.wire.generated.GossipProtocol.EndpointLimit;
 import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
@@ -74,12 +73,6 @@
                                 .setWindow(window)
                                 .setAccount(account.value())
                                 .setCount(count))));
-        context.poisonRequests()
-                .forEachRecent(
-                        times,
-                        (request, crashes) -> gossip.addCrashes(CrashedRequest.newBuilder()
-                                .setFingerprint(request.value())
-                                .setCrashes(crashes)));
         avoided.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         context.demands()
                 .forEachOwn((pool, tokens) -> gossip.addReadings(
@@ -106,12 +99,6 @@
         context.accounts()
                 .forEachSpentInDomain((account, tokens) -> gossip.addSpends(
                         AccountSpend.newBuilder().setAccount(account.value()).setTokens(tokens)));
-        context.poisonRequests()
-                .forEachRecentInDomain(
-                        times,
-                        (request, crashes) -> gossip.addCrashes(CrashedRequest.newBuilder()
-                                .setFingerprint(request.value())
-                                .setCrashes(crashes)));
         context.demands()
                 .forEachInDomain((pool, tokens) -> gossip.addReadings(
                         PoolReading.newBuilder().setPool(pool.value()).setTokens(tokens)));
@@ -131,8 +118,8 @@
                 .setWallMillis(context.wallMillis().getAsLong());
         long nowMillis = context.clockMillis().getAsLong();
         context.poisonRequests()
-                .engineCrashesChangedSince(toldSinceMillis(steps, nowMillis), nowMillis)
-                .forEach(crash -> gossip.addCrashedEngines(EngineCrashCodec.encode(crash, nowMillis)));
+                .crashesChangedSince(toldSinceMillis(steps, nowMillis), nowMillis)
+                .forEach(crash -> gossip.addCrashedEndpoints(EndpointCrashCodec.encode(crash, nowMillis)));
         return gossip;
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -21,7 +21,6 @@
 import org.ragwortpitch.ledger.PeerCounts;
 import org.ragwortpitch.pacing.LimitReading;
 import org.ragwortpitch.placement.PeerLoad;
-import org.ragwortpitch.poison.Fingerprint;
 import org.ragwortpitch.wire.generated.GossipProtocol.AccountSpend;
 import org.ragwortpitch.wire.generated.GossipProtocol.EndpointLimit;
 import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
@@ -109,8 +108,8 @@
         }
         long now = context.clockMillis().getAsLong();
         // Crashes and limits count whoever reports them, also before the list of daemons is read.
-        gossip.getCrashedEnginesList()
-                .forEach(crash -> context.poisonRequests().mergeEngineCrash(EngineCrashCodec.decode(crash, now), now));
+        gossip.getCrashedEndpointsList()
+                .forEach(crash -> context.poisonRequests().mergeCrash(EndpointCrashCodec.decode(crash, now), now));
         boolean direct = gossip.getDigestOf().isEmpty() && peers.isDirect(peer);
         gossip.getLimitsList().forEach(limit -> receiveLimit(limit, direct, now));
         if (!gossip.getDigestOf().isEmpty()) {
@@ -151,8 +150,6 @@
         for (PoolReading reading : gossip.getReadingsList()) {
             context.demands().recordDirectPeer(peer, startMillis, new PoolId(reading.getPool()), reading.getTokens());
         }
-        gossip.getCrashesList().forEach(crash -> context.poisonRequests()
-                .mergeDirectPeerCrashes(new Fingerprint(crash.getFingerprint()), crash.getCrashes(), now));
         List<EndpointId> avoided =
                 gossip.getChangingList().stream().map(EndpointId::new).toList();
         context.endpoints().avoid(avoided, now + AVOID_MILLIS);
@@ -191,8 +188,6 @@
         for (PoolReading reading : gossip.getReadingsList()) {
             context.demands().recordPeer(domain, incarnation, new PoolId(reading.getPool()), reading.getTokens());
         }
-        gossip.getCrashesList().forEach(crash -> context.poisonRequests()
-                .mergePeerCrashes(new Fingerprint(crash.getFingerprint()), crash.getCrashes(), now));
         context.endpoints()
                 .avoid(
                         gossip.getChangingList().stream().map(EndpointId::new).toList(),
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -136,6 +136,11 @@
     }
 
     private void retryOrGiveUp(String reason) {
+        Optional<String> poisonReason = exchange.poisonReason();
+        if (poisonReason.isPresent()) {
+            exchange.failOrRefuse(executions > 0, 0, poisonReason.get());
+            return;
+        }
         long now = now();
         boolean allowed = sends < MAX_SENDS
                 && exchange.remainingMillis(now) > 0
@@ -196,6 +201,7 @@
             status = newStatus;
             headers = newHeaders;
             target.recordStatedLimit(newStatus, newHeaders, sentMillis, now());
+            exchange.recordResponse(target, sentMillis);
         }
 
         @Override
@@ -248,8 +254,8 @@
             }
             executions++;
             exchange.recordExecution();
-            exchange.recordCrash(target, headers != null, List.of());
-            if (mayRunOnAnotherEndpoint() && !exchange.isPoison()) {
+            exchange.recordCrash(target, headers != null, headers == null);
+            if (mayRunOnAnotherEndpoint()) {
                 retryOrGiveUp("no complete response from the endpoint: " + failure.reason());
             } else {
                 exchange.fail(BAD_GATEWAY, "no complete response from the endpoint: " + failure.reason());
@@ -269,7 +275,10 @@
         }
 
         private void onStall() {
-            if (ended || exchange.isDone() || !exchange.sends().tryReserve(1, false, now())) {
+            if (ended
+                    || exchange.isDone()
+                    || exchange.poisonReason().isPresent()
+                    || !exchange.sends().tryReserve(1, false, now())) {
                 return;
             }
             currentSend.cancel();
@@ -287,7 +296,10 @@
          */
         private void retryOrForwardError(int errorStatus, HttpHeaders errorHeaders, ByteBuf errorBody) {
             long now = now();
-            if (sends < MAX_SENDS && choose(now).isPresent() && exchange.sends().tryReserve(1, false, now)) {
+            if (sends < MAX_SENDS
+                    && choose(now).isPresent()
+                    && exchange.poisonReason().isEmpty()
+                    && exchange.sends().tryReserve(1, false, now)) {
                 send(now);
             } else {
                 exchange.forwardResponse(errorStatus, errorHeaders, errorBody);
--- a/edge/src/test/java/org/ragwortpitch/edge/PoisonLookUpTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/PoisonLookUpTest.java
@@ -154,7 +154,7 @@
         assertEquals(0, lateRequests(started("front-1")), "look-ups that reached endpoints");
     }
 
-    /** Guards against the refusal of a sound look-up that many callers send and that endpoints were executing as they ended. */
+    /** Guards against the refusal of a sound look-up that many callers send, for endpoints that ended under it. */
     @Test
     void testSoundLookUpIsServedAfterEndpointsEndedUnderIt() throws Exception {
         Edge edge = started("front-1");
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -15,6 +15,8 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.ragwortpitch.clock.MedianClock;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.AccountSpec;
@@ -34,6 +36,7 @@
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.pacing.EndpointPacer;
+import org.ragwortpitch.poison.CrashCause;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 
 /**
@@ -175,10 +178,11 @@
                         OptionalDouble.empty(), member.state().pacer().limit()));
     }
 
-    /** Guards against crashes of engines that only the daemons which were there when they happened know of. */
-    @Test
-    void testDaemonThatStartsLaterLearnsWhichPrefixBlockCrashesEngines() {
-        List<PrefixBlock> prompt = List.of(new PrefixBlock(1, 10), new PrefixBlock(2, 10));
+    /** Guards against crashes of endpoints that only the daemons which were there when they happened know of. */
+    @ParameterizedTest
+    @EnumSource(CrashCause.Kind.class)
+    void testDaemonThatStartsLaterLearnsWhatCrashesEndpoints(CrashCause.Kind kind) {
+        List<CrashCause> causes = List.of(new CrashCause(CrashCause.Kind.BLOCK, 1), new CrashCause(kind, 2));
         for (int startMillis = 1; startMillis <= 3; startMillis++) {
             Endpoint engine = new Endpoint(
                     ENGINE,
@@ -191,16 +195,16 @@
                     startMillis,
                     false,
                     OptionalLong.empty());
-            members.get("a2").poison.recordLostPrompt(engine, prompt, nowMillis);
+            members.get("a2").poison.recordCrash("attempt", engine, false, causes, nowMillis);
         }
         advance(SECOND_MILLIS);
-        assertTrue(members.get("b2").poison.poisonBlockIn(prompt, nowMillis).isPresent());
+        assertTrue(members.get("b2").poison.poisonIn(causes, nowMillis).isPresent());
         advance(20 * SECOND_MILLIS);
         Member started = new Member("b2");
         members.put("b2", started);
         started.applyListing();
         advance(4 * SECOND_MILLIS);
-        assertTrue(started.poison.poisonBlockIn(prompt, nowMillis).isPresent());
+        assertTrue(started.poison.poisonIn(causes, nowMillis).isPresent());
     }
 
     private long countReady(String observer, FailureDomain domain) {
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/PoisonRequestsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/PoisonRequestsTest.java
@@ -9,19 +9,19 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Endpoint;
-import org.ragwortpitch.deployment.PrefixBlock;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.PrefixBlockId;
-import org.ragwortpitch.poison.EngineCrash;
+import org.ragwortpitch.poison.CrashCause;
+import org.ragwortpitch.poison.EndpointCrash;
 
 class PoisonRequestsTest {
 
-    private static final long BLOCK = 7;
+    private static final CrashCause BLOCK = CrashCause.of(new PrefixBlockId(7));
 
-    private final List<PrefixBlockId> recorded = new ArrayList<>();
-    private final PoisonRequests poison = new PoisonRequests((block, crashes) -> recorded.add(block));
+    private final List<CrashCause> recorded = new ArrayList<>();
+    private final PoisonRequests poison = new PoisonRequests((cause, crashes) -> recorded.add(cause));
 
     private static Endpoint engine(int number) {
         return new Endpoint(
@@ -43,10 +43,9 @@
     void testPoisonBlockIsRecordedByDaemonsThatSawACrash(int ownCrashes, int expectedRecords) {
         for (int crash = 0; crash < 3; crash++) {
             if (crash < ownCrashes) {
-                poison.recordLostPrompt(engine(crash), List.of(new PrefixBlock(BLOCK, 10)), crash);
+                poison.recordCrash("attempt", engine(crash), false, List.of(BLOCK), crash);
             } else {
-                poison.mergeEngineCrash(
-                        EngineCrash.of(engine(crash).incarnation(), List.of(new PrefixBlockId(BLOCK)), crash), crash);
+                poison.mergeCrash(EndpointCrash.of(engine(crash).incarnation(), List.of(BLOCK), crash), crash);
             }
         }
         assertEquals(expectedRecords, recorded.size());
--- a/policy/src/main/java/org/ragwortpitch/poison/package-info.java
+++ b/policy/src/main/java/org/ragwortpitch/poison/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Detection of poison requests, which crash the endpoints that run them. Requests are identified by a fingerprint of
- * their content and judged by the number of crashes that they were in flight at.
+ * Detection of requests and prefix blocks that crash the endpoints which execute them. Requests are identified by a
+ * fingerprint of their content. Crashes are judged as sets that daemons merge; the earlier daemon counts them.
  */
 package org.ragwortpitch.poison;
--- a/policy/src/test/java/org/ragwortpitch/poison/PoisonBlockTrackerHistoryTest.java
+++ b/policy/src/test/java/org/ragwortpitch/poison/PoisonTrackerHistoryTest.java
@@ -7,19 +7,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PrefixBlockId;
 
 /**
- * Guards against a fleet that goes on sending requests with a prefix block which crashes engines, and against one that
- * refuses sound requests instead, while daemons restart, are partitioned and lose gossip, engines end for other
- * reasons, several at once, and connections of living engines break.
+ * Guards against a fleet that goes on sending what crashes endpoints, be it one request that comes again or all
+ * requests with a certain prefix block, and against one that refuses sound requests instead, while daemons restart, are
+ * partitioned and lose gossip, endpoints end for other reasons, several at once, and connections of living endpoints
+ * break.
  */
-class PoisonBlockTrackerHistoryTest {
+class PoisonTrackerHistoryTest {
 
     private static final int STEP_MILLIS = 50;
 
@@ -32,7 +33,10 @@
     private static final int ENGINES = 6;
 
     /** Crashes after which requests with the block are counted, once the daemons have had time to learn of them. */
-    private static final int CRASHES = 5;
+    private static final int CRASHES_BY_BLOCK = 5;
+
+    /** The same for one request that comes again. */
+    private static final int CRASHES_BY_REQUEST = 3;
 
     private static final long CONTACT_MILLIS = 3_000;
 
@@ -45,27 +49,38 @@
     private static final int MAX_RUNS_PER_REQUEST = 3;
 
     @ParameterizedTest
-    @CsvSource({"1, 40, 7, 2", "1001, 40, 7, 8", "2001, 10, 16, 4", "3001, 40, 7, 0"})
+    @CsvSource({
+        "BLOCK, 1, 40, 7, 2",
+        "BLOCK, 1001, 40, 7, 8",
+        "BLOCK, 2001, 10, 16, 4",
+        "BLOCK, 3001, 40, 7, 0",
+        "REQUEST, 4001, 40, 7, 2",
+        "REQUEST, 5001, 40, 7, 8",
+        "REQUEST, 6001, 10, 16, 4",
+        "REQUEST, 7001, 40, 7, 0"
+    })
     void testPoisonIsStoppedAndSoundRequestsAreServed(
-            long firstSeed, int historyCount, int daemons, double poisonPerSecond) {
+            CrashCause.Kind poison, long firstSeed, int historyCount, int daemons, double poisonPerSecond) {
         for (long seed = firstSeed; seed < firstSeed + historyCount; seed++) {
-            History history = new History(seed, daemons, poisonPerSecond, true);
+            History history = new History(seed, daemons, poison, poisonPerSecond, true);
             history.run();
             assertTrue(
                     history.lateRequests <= MAX_LATE_REQUESTS,
-                    "seed " + seed + ": " + history.lateRequests + " requests with the block reached engines");
-            history.soundByFirstBlock.forEach((block, counts) -> assertTrue(
+                    "seed " + seed + ": " + history.lateRequests + " poisoned requests reached endpoints");
+            history.soundByFirstCause.forEach((cause, counts) -> assertTrue(
                     counts[1] <= MAX_REFUSED_RATIO * counts[0],
-                    "requests with first block " + block + ": " + counts[1] + " of " + counts[0] + " refused"));
+                    "seed " + history.seed + ", requests with first cause " + cause + ": " + counts[1] + " of "
+                            + counts[0] + " refused"));
         }
     }
 
-    /** Shows that the histories are hard enough: daemons that count alone let more requests with the block through. */
-    @Test
-    void testDaemonsThatDoNotShareCrashesLetThePoisonThrough() {
+    /** Shows that the histories are hard enough: daemons that count alone let more poisoned requests through. */
+    @ParameterizedTest
+    @EnumSource(CrashCause.Kind.class)
+    void testDaemonsThatDoNotShareCrashesLetThePoisonThrough(CrashCause.Kind poison) {
         boolean exceeded = false;
         for (long seed = 1; seed <= 50 && !exceeded; seed++) {
-            History history = new History(seed, 7, 2, false);
+            History history = new History(seed, 7, poison, 2, false);
             history.run();
             exceeded = history.lateRequests > MAX_LATE_REQUESTS;
         }
@@ -75,24 +90,30 @@
     /** One random history. */
     private static final class History {
 
-        private static final PrefixBlockId POISON = new PrefixBlockId(0xbad);
+        private static final CrashCause POISON_BLOCK = block(0xbad);
 
+        private static final CrashCause POISON_REQUEST = request(0xbad);
+
+        private final long seed;
         private final Random random;
+        private final CrashCause.Kind poison;
         private final double poisonPerSecond;
         private final boolean gossip;
         private final List<Member> members = new ArrayList<>();
         private final List<Engine> engines = new ArrayList<>();
         private final List<Message> messages = new ArrayList<>();
 
-        /** Sound requests and refused ones among them, by the first block, once the fleet must know the block. */
-        private final Map<PrefixBlockId, int[]> soundByFirstBlock = new HashMap<>();
+        /** Sound requests and refused ones among them, by the first cause, once the fleet must know the poison. */
+        private final Map<CrashCause, int[]> soundByFirstCause = new HashMap<>();
 
         private long nowMillis;
         private int poisonCrashes;
         private long countedFromMillis = Long.MAX_VALUE;
         private int lateRequests;
 
-        History(long seed, int daemons, double poisonPerSecond, boolean gossip) {
+        History(long seed, int daemons, CrashCause.Kind poison, double poisonPerSecond, boolean gossip) {
+            this.seed = seed;
+            this.poison = poison;
             this.random = new Random(seed);
             this.poisonPerSecond = poisonPerSecond;
             this.gossip = gossip;
@@ -150,10 +171,10 @@
                 if (due && message.to.isConnected(nowMillis)) {
                     long transitMillis = nowMillis - message.sentMillis;
                     message.crashes.forEach(crash -> message.to.tracker.learn(
-                            new EngineCrash(
-                                    crash.engine(),
+                            new EndpointCrash(
+                                    crash.endpoint(),
                                     crash.atMillis() + transitMillis,
-                                    crash.prompts(),
+                                    crash.requests(),
                                     crash.served(),
                                     crash.proven(),
                                     crash.refuted()),
@@ -165,20 +186,44 @@
 
         private void sendRequests() {
             for (int request = countOf(40); request > 0; request--) {
-                PrefixBlockId first = new PrefixBlockId(1 + random.nextInt(3));
-                PrefixBlockId subject =
-                        new PrefixBlockId(10 * first.value() + (int) (20 * random.nextDouble() * random.nextDouble()));
-                send(new Request(anyMember(), List.of(first, subject), false, 1));
+                send(new Request(anyMember(), poison == CrashCause.Kind.BLOCK ? prompt() : lookUp(), false, 1));
             }
             for (int request = countOf(nowMillis < POISON_FROM_MILLIS ? 0 : poisonPerSecond); request > 0; request--) {
-                PrefixBlockId first = new PrefixBlockId(1);
-                List<PrefixBlockId> prompt = random.nextBoolean()
-                        ? List.of(first, POISON)
-                        : List.of(first, new PrefixBlockId(10 + random.nextInt(20)), POISON);
-                send(new Request(anyMember(), prompt, true, 1));
+                send(new Request(
+                        anyMember(),
+                        poison == CrashCause.Kind.BLOCK ? poisonPrompt() : List.of(POISON_REQUEST),
+                        true,
+                        1));
             }
         }
 
+        /** Returns the causes in a generation, which shares a block with many others and another with some. */
+        private List<CrashCause> prompt() {
+            int first = 1 + random.nextInt(3);
+            int subject = 10 * first + (int) (20 * random.nextDouble() * random.nextDouble());
+            return List.of(block(first), block(subject), request(random.nextLong()));
+        }
+
+        private List<CrashCause> poisonPrompt() {
+            CrashCause request = request(random.nextLong());
+            return random.nextBoolean()
+                    ? List.of(block(1), POISON_BLOCK, request)
+                    : List.of(block(1), block(10 + random.nextInt(20)), POISON_BLOCK, request);
+        }
+
+        /** Returns the cause in a look-up, some of which many callers send alike. */
+        private List<CrashCause> lookUp() {
+            return List.of(request((long) (200 * random.nextDouble() * random.nextDouble() * random.nextDouble())));
+        }
+
+        private static CrashCause block(long value) {
+            return CrashCause.of(new PrefixBlockId(value));
+        }
+
+        private static CrashCause request(long content) {
+            return CrashCause.of(Fingerprint.of("caller", String.valueOf(content)));
+        }
+
         private int countOf(double perSecond) {
             double expected = perSecond * STEP_MILLIS / 1_000;
             return (int) (expected + random.nextDouble());
@@ -193,9 +238,9 @@
             if (member.runningFromMillis > nowMillis) {
                 return;
             }
-            boolean refused = member.tracker.poisonIn(request.prompt, nowMillis).isPresent();
+            boolean refused = member.tracker.poisonIn(request.causes, nowMillis).isPresent();
             if (!request.poison && nowMillis >= POISON_FROM_MILLIS + 2 * CONTACT_MILLIS) {
-                int[] counts = soundByFirstBlock.computeIfAbsent(request.prompt.get(0), block -> new int[2]);
+                int[] counts = soundByFirstCause.computeIfAbsent(request.causes.get(0), cause -> new int[2]);
                 counts[0]++;
                 counts[1] += refused ? 1 : 0;
             }
@@ -226,13 +271,14 @@
                 }
                 if (nowMillis >= run.completesMillis()) {
                     engine.runs.remove(run);
-                    run.request.member.tracker.completed(run.request.prompt, nowMillis);
+                    run.request.member.tracker.completed(run.request.causes, nowMillis);
                 }
             }
         }
 
         private void crash(Engine engine, boolean byPoison) {
-            if (byPoison && ++poisonCrashes == CRASHES) {
+            if (byPoison
+                    && ++poisonCrashes == (poison == CrashCause.Kind.BLOCK ? CRASHES_BY_BLOCK : CRASHES_BY_REQUEST)) {
                 countedFromMillis = nowMillis + CONTACT_MILLIS;
             }
             List<Run> lost = List.copyOf(engine.runs);
@@ -253,17 +299,17 @@
                 return;
             }
             if (!run.responded) {
-                run.request.member.tracker.crashed(engine.incarnation(), run.request.prompt, nowMillis);
+                run.request.member.tracker.crashed(engine.incarnation(), run.request.causes, nowMillis);
             }
             if (run.request.runs < MAX_RUNS_PER_REQUEST) {
-                send(new Request(run.request.member, run.request.prompt, run.request.poison, run.request.runs + 1));
+                send(new Request(run.request.member, run.request.causes, run.request.poison, run.request.runs + 1));
             }
         }
     }
 
-    private record Message(Member to, long atMillis, long sentMillis, List<EngineCrash> crashes) {}
+    private record Message(Member to, long atMillis, long sentMillis, List<EndpointCrash> crashes) {}
 
-    private record Request(Member member, List<PrefixBlockId> prompt, boolean poison, int runs) {}
+    private record Request(Member member, List<CrashCause> causes, boolean poison, int runs) {}
 
     /** A request at an engine. */
     private static final class Run {
@@ -309,13 +355,13 @@
     /** A simulated daemon. */
     private static final class Member {
 
-        private PoisonBlockTracker tracker = new PoisonBlockTracker();
+        private PoisonTracker tracker = new PoisonTracker();
         private long runningFromMillis = -CONTACT_MILLIS;
         private long partitionedUntilMillis = -CONTACT_MILLIS;
 
         void restart(long fromMillis) {
             runningFromMillis = Math.max(runningFromMillis, fromMillis);
-            tracker = new PoisonBlockTracker();
+            tracker = new PoisonTracker();
         }
 
         boolean isConnected(long nowMillis) {
