Test that crashes reach the store although it refused them at first

No logic changes. Measured: PoisonLookUpTest.testCrashesOfALookUpAreKnownThoughTheStoreRefusedThemAtFirst passes; it passed on the commit before as well.

--- a/edge/src/test/java/org/ragwortpitch/edge/PoisonLookUpTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/PoisonLookUpTest.java
@@ -154,6 +154,20 @@
         assertEquals(0, lateRequests(started("front-1")), "look-ups that reached endpoints");
     }
 
+    /** Guards against crashes that are forgotten since the store refused them at first. */
+    @Test
+    void testCrashesOfALookUpAreKnownThoughTheStoreRefusedThemAtFirst() throws Exception {
+        Edge first = started("front-1");
+        store.downTopic("keyed.poison");
+        crashEndpoints(first);
+        Thread.sleep(CONTACT_MILLIS);
+        store.downTopic("");
+        Thread.sleep(CONTACT_MILLIS);
+        first.close();
+        restartEndpoints();
+        assertEquals(0, lateRequests(started("front-1")), "look-ups that reached endpoints");
+    }
+
     /** Guards against the refusal of a sound look-up that many callers send, for endpoints that ended under it. */
     @Test
     void testSoundLookUpIsServedAfterEndpointsEndedUnderIt() throws Exception {
