Recognise a request of an account by whichever of its keys

Cause: the fingerprint of a request took the whole Authorization header, so that an account with two keys, or one whose key is replaced, was two callers, and a request known to crash endpoints could crash three more with the other key. Change: the fingerprint takes the account; a request without a known key keeps the header. Measured: PoisonLookUpTest.testLookUpIsRefusedWhicheverKeyOfTheAccountItHas failed before (502 from endpoints, 503 expected) and passes now.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -218,7 +218,9 @@
 
     private List<CrashCause> crashCauses() {
         if (crashCauses == null) {
-            crashCauses = PoisonRequests.causes(request, prefixBlocks);
+            String caller = account.map(known -> known.id().value())
+                    .orElseGet(() -> String.valueOf(request.headers().get(Headers.AUTHORIZATION)));
+            crashCauses = PoisonRequests.causes(caller, request, prefixBlocks);
         }
         return crashCauses;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
-import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.PrefixBlock;
 import org.ragwortpitch.edge.front.CallerRequest;
@@ -52,12 +51,12 @@
     /**
      * Returns what a request may crash endpoints by, the least specific first; the same at every daemon.
      *
+     * @param caller       the account, or what the request has instead of a known key
      * @param prefixBlocks the prefix blocks of its prompt that other requests may share
      */
-    static List<CrashCause> causes(CallerRequest request, List<PrefixBlock> prefixBlocks) {
+    static List<CrashCause> causes(String caller, CallerRequest request, List<PrefixBlock> prefixBlocks) {
         List<CrashCause> causes = new ArrayList<>();
         prefixBlocks.forEach(block -> causes.add(CrashCause.of(new PrefixBlockId(block.id()))));
-        String caller = String.valueOf(request.headers().get(Headers.AUTHORIZATION));
         causes.add(
                 CrashCause.of(Fingerprint.of(caller + '\n' + request.target(), ByteBufUtil.hexDump(request.body()))));
         return List.copyOf(causes);
--- a/edge/src/test/java/org/ragwortpitch/edge/PoisonLookUpTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/PoisonLookUpTest.java
@@ -45,7 +45,8 @@
             {"Version":1,"Routes":[{"Name":"check","Host":"127.0.0.1","PathPrefix":"/check/","Kind":"safe",
             "TimeoutMs":2000,"TargetLatencyMs":1000,"Service":"app","MaxAttempts":2}],
             "Services":[{"Name":"app","MaxConnections":100}],
-            "Tenants":[{"Name":"families","ApiKeys":["key"],"RatePerS":1000000,"Burst":1000000,"PlainTokens":1}]}
+            "Tenants":[{"Name":"families","ApiKeys":["key","other-key"],"RatePerS":1000000,"Burst":1000000,
+            "PlainTokens":1}]}
             """;
 
     private final Closer closer = new Closer();
@@ -143,6 +144,18 @@
         assertTrue(late <= MAX_LATE_REQUESTS, late + " of the look-ups reached endpoints");
     }
 
+    /** Guards against an account that may crash endpoints anew with each of its keys. */
+    @Test
+    void testLookUpIsRefusedWhicheverKeyOfTheAccountItHas() throws Exception {
+        Edge edge = started("front-1");
+        crashEndpoints(edge);
+        restartEndpoints();
+        TestDaemons.await(() -> look(edge, SOUND).statusCode() == 200);
+        int before = poisonArrivals();
+        assertEquals(503, daemons.look(edge, POISON, "other-key").get().statusCode());
+        assertEquals(before, poisonArrivals(), "arrivals of the look-up");
+    }
+
     /** Guards against crashes that are forgotten when all daemons end at the same moment. */
     @Test
     void testCrashesOfALookUpAreKnownAfterAllDaemonsEnded() throws Exception {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -87,10 +87,17 @@
      * Sends a request without a body; those with the same path differ in nothing but their id.
      */
     public CompletableFuture<HttpResponse<String>> look(Edge edge, String path) {
+        return look(edge, path, "key");
+    }
+
+    /**
+     * Sends a request without a body, with one of the account's keys.
+     */
+    public CompletableFuture<HttpResponse<String>> look(Edge edge, String path, String key) {
         HttpRequest request = HttpRequest.newBuilder(
                         URI.create("http://127.0.0.1:" + edge.frontAddress().getPort() + path))
                 .timeout(Duration.ofSeconds(CALLER_SECONDS))
-                .header("Authorization", "Bearer key")
+                .header("Authorization", "Bearer " + key)
                 .header(Headers.ATTEMPT, UUID.randomUUID().toString())
                 .header(Headers.DEADLINE, String.valueOf(CALLER_SECONDS * 1_000))
                 .GET()
