Log the software version of endpoints and what a generation resumes

Change: the version is read from the endpoints' entries and logged with them; the event placed names the version of the decode engine, the attempt that began the stream and its last event. An endpoint with another version counts as another incarnation, also if its start time is unknown. Placement doesn't use it yet.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -158,7 +158,8 @@
                 .with("role", endpoint.role())
                 .with("leaving", endpoint.leaving())
                 .with("reclaimable", endpoint.reclaimable())
-                .with("born", endpoint.startMillis());
+                .with("born", endpoint.startMillis())
+                .with("version", endpoint.version());
     }
 
     @Override
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationLog.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationLog.java
@@ -27,7 +27,13 @@
         this.describeBudget = describeBudget;
     }
 
-    void placed(Placement placement, Generation generation) {
+    /**
+     * Logs a placement.
+     *
+     * @param resumedAttempt the attempt that began the stream which the request takes up; null if it names none
+     * @param afterEvent     the last event of the stream so far
+     */
+    void placed(Placement placement, Generation generation, String resumedAttempt, long afterEvent) {
         EngineState decodeEngine = placement.decodeEngine();
         String prefillEngineId = placement
                 .prefillEngine()
@@ -41,6 +47,9 @@
                 .with("cached", decodeEngine.cache().cachedTokens(generation.parts()))
                 .with("running", decodeEngine.totalRunning())
                 .with("reading", decodeEngine.totalPrefillTokens())
+                .with("version", decodeEngine.endpoint().version())
+                .with("resumes", resumedAttempt == null ? "-" : resumedAttempt)
+                .with("after", afterEvent)
                 .info(LOGGER);
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -122,7 +122,7 @@
         if (executions == 0 && checks.refuseIfTooLate(placement, now)) {
             return;
         }
-        log.placed(placement, generation);
+        log.placed(placement, generation, exchange.request().headers().get(Headers.RESUMED_ATTEMPT), lastEventId);
         placement.prefillEngine().ifPresent(this::recordAssigned);
         recordAssigned(placement.decodeEngine());
         if (withPrefill) {
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/EngineStreamTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/EngineStreamTest.java
@@ -19,6 +19,7 @@
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 
 class EngineStreamTest {
 
@@ -45,7 +46,8 @@
                 EndpointRole.DECODE,
                 1,
                 false,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                SoftwareVersion.UNSTATED);
         EndpointState target = new EndpointState(endpoint, Optional.of(new EngineSpec(64, 500_000, 1, 1, 1, 1)), 0);
         EngineStream stream = new EngineStream(target, 10, 0, new OutcomeListener());
         stream.onHead(200, new DefaultHttpHeaders().set(Headers.SEAL, "seal"));
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -34,6 +34,7 @@
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.pacing.EndpointPacer;
 import org.ragwortpitch.poison.CrashCause;
@@ -194,7 +195,8 @@
                     EndpointRole.DECODE,
                     startMillis,
                     false,
-                    OptionalLong.empty());
+                    OptionalLong.empty(),
+                    SoftwareVersion.UNSTATED);
             members.get("a2").poison.recordCrash("attempt", engine, false, causes, nowMillis);
         }
         advance(SECOND_MILLIS);
@@ -250,7 +252,17 @@
                     CallerLimits.DEFAULT);
             accounts.apply(deployment, nowMillis);
             Endpoint engine = new Endpoint(
-                    ENGINE, POOL, "e", self.domain(), 64, false, EndpointRole.DECODE, 1, false, OptionalLong.empty());
+                    ENGINE,
+                    POOL,
+                    "e",
+                    self.domain(),
+                    64,
+                    false,
+                    EndpointRole.DECODE,
+                    1,
+                    false,
+                    OptionalLong.empty(),
+                    SoftwareVersion.UNSTATED);
             endpoints.apply(List.of(engine), deployment, nowMillis);
             GossipContext context = new GossipContext(
                     self,
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/PoisonRequestsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/PoisonRequestsTest.java
@@ -13,6 +13,7 @@
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.PrefixBlockId;
+import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.poison.CrashCause;
 import org.ragwortpitch.poison.EndpointCrash;
 
@@ -34,7 +35,8 @@
                 EndpointRole.DECODE,
                 1,
                 false,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                SoftwareVersion.UNSTATED);
     }
 
     /** Guards against a poison block that no daemon records, since several of them have seen its crashes. */
--- a/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
@@ -5,6 +5,7 @@
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 
 /**
  * An endpoint as the platform lists it.
@@ -19,6 +20,7 @@
  * @param startMillis       when this incarnation started, in milliseconds since 1970; 0 if unknown
  * @param reclaimable       whether the platform may reclaim it on short notice
  * @param reclaimedInMillis the time until it is reclaimed, in milliseconds; empty if unknown
+ * @param version           the version of its software, which may change with its incarnation
  */
 public record Endpoint(
         EndpointId id,
@@ -30,7 +32,8 @@
         EndpointRole role,
         long startMillis,
         boolean reclaimable,
-        OptionalLong reclaimedInMillis) {
+        OptionalLong reclaimedInMillis,
+        SoftwareVersion version) {
 
     /**
      * Returns whether this endpoint and another are the same incarnation with the same draining state, role and
@@ -51,6 +54,9 @@
      * Returns whether this endpoint and another are the same incarnation of the same endpoint.
      */
     public boolean isSameIncarnation(Endpoint other) {
-        return id.equals(other.id) && startMillis == other.startMillis && address.equals(other.address);
+        return id.equals(other.id)
+                && startMillis == other.startMillis
+                && address.equals(other.address)
+                && version.equals(other.version);
     }
 }
--- a/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
+++ b/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
@@ -18,6 +18,7 @@
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 
 /**
  * Tests the choice of prefill and decode engines for many subjects, each with a long shared prefix and a short suffix
@@ -42,7 +43,8 @@
                 role,
                 0,
                 false,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                SoftwareVersion.UNSTATED);
         return new EngineState(endpoint, new EngineSpec(64, 500_000, 163_840, 1_700_000, 5_000, 3_000));
     }
 
--- a/policy/src/test/java/org/ragwortpitch/scaling/EngineRoleAssignmentTest.java
+++ b/policy/src/test/java/org/ragwortpitch/scaling/EngineRoleAssignmentTest.java
@@ -13,6 +13,7 @@
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 
 /**
  * Tests the choice of engines that change their role.
@@ -30,7 +31,8 @@
                 role,
                 0,
                 reclaimable,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                SoftwareVersion.UNSTATED);
     }
 
     private static Map<String, EndpointRole> changes(List<Endpoint> engines, int decodeEngines, boolean fresh) {
