--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -60,6 +60,7 @@
     private volatile String crashBlock = "";
     private volatile String crashPath = "";
     private volatile long startMillis = 1;
+    private volatile String version = "v1";
 
     public StandinEndpoint(String id) {
         this.id = id;
@@ -98,6 +99,13 @@
         return arrivalMillis;
     }
 
+    /**
+     * Sets the version of its software, which its entry states from the next listing on and its events have as data.
+     */
+    public void version(String newVersion) {
+        version = newVersion;
+    }
+
     /**
      * Crashes when it begins to execute a request whose prompt has a prefix block.
      *
@@ -180,7 +188,8 @@
      */
     public void list(StandinStore store, int port, String pool, String stage, String state) {
         String entry = "{\"Service\":\"" + pool + "\",\"Address\":\"127.0.0.1:" + port
-                + "\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"" + state + "\",\"Stage\":\"" + stage
+                + "\",\"Version\":\"" + version + "\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"" + state
+                + "\",\"Stage\":\"" + stage
                 + "\",\"Sequence\":1,\"born\":" + startMillis + "}";
         store.put("keyed.servers", "servers/" + id, entry);
     }
@@ -259,7 +268,7 @@
             response.sendChunk(text("id: " + event + "\nda"));
             loops.loop().execute(response::abort);
         } else {
-            response.sendChunk(text("id: " + event + "\ndata: x\n\n"));
+            response.sendChunk(text("id: " + event + "\ndata: " + version + "\n\n"));
             runAfterPace(() -> event(response, event + 1));
         }
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -2,11 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.InputStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.Callable;
@@ -105,6 +107,28 @@
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    /**
+     * Sends an attempt of a generation, whose response the caller reads as it arrives.
+     *
+     * @param headers further headers
+     */
+    public CompletableFuture<HttpResponse<InputStream>> stream(
+            Edge edge, String path, String attempt, Map<String, String> headers) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + edge.frontAddress().getPort() + path))
+                .timeout(Duration.ofSeconds(CALLER_SECONDS))
+                .header("Authorization", "Bearer key")
+                .header(Headers.ATTEMPT, attempt)
+                .header(Headers.DEADLINE, String.valueOf(CALLER_SECONDS * 1_000))
+                .header(Headers.TOKENS, "3000,100")
+                .header(
+                        Headers.PREFIX_BLOCKS,
+                        "a1:1000," + Long.toHexString(UUID.randomUUID().getMostSignificantBits()) + ":1000")
+                .POST(HttpRequest.BodyPublishers.ofString("prompt"));
+        headers.forEach(request::header);
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofInputStream());
+    }
+
     @Override
     public void close() {
         closer.close();
