Don't blame prefix blocks for streams that broke after their first events

Cause: the mechanism for both causes of crashes reported a stream that broke within a quarter of a second of its first event with its prefix blocks too, although a poison block crashes engines before they respond; only the request may be to blame then. Three engines that broke off young streams of one block had the block refused. Change: a request that had a response is reported as the only cause. Measured: PoisonRequestsTest.testBlockIsNotBlamedForStreamsThatHadEvents failed before (blamed) and passes now.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
@@ -63,13 +63,18 @@
     }
 
     /**
-     * Records that a connection broke while the endpoint executed a request.
+     * Records that a connection broke while the endpoint executed a request. Prefix blocks crash engines before they
+     * respond, so of a request that had a response only the request itself is a cause.
      *
-     * @param causes    what may have crashed the endpoint, as from {@link #causes}; empty if it had responded for too
-     *                  long to have crashed on the request
+     * @param inRequest what may crash endpoints in the request, as from {@link #causes}; empty if the endpoint had
+     *                  responded for too long to have crashed on it
      * @param responded whether it had begun to respond
      */
-    void recordCrash(String attemptId, Endpoint endpoint, boolean responded, List<CrashCause> causes, long nowMillis) {
+    void recordCrash(
+            String attemptId, Endpoint endpoint, boolean responded, List<CrashCause> inRequest, long nowMillis) {
+        List<CrashCause> causes = inRequest.stream()
+                .filter(cause -> !responded || cause.kind() == CrashCause.Kind.REQUEST)
+                .toList();
         if (!causes.isEmpty()) {
             lostCauses.removeAll(causes);
             lostCauses.addAll(causes);
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/PoisonRequestsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/PoisonRequestsTest.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.identity.EndpointId;
@@ -39,6 +40,17 @@
                 SoftwareVersion.UNSTATED);
     }
 
+    /** Guards against a prefix block that is refused since engines broke off after they had sent events with it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void testBlockIsNotBlamedForStreamsThatHadEvents(boolean responded) {
+        for (int crash = 0; crash < 3; crash++) {
+            CrashCause request = new CrashCause(CrashCause.Kind.REQUEST, crash);
+            poison.recordCrash("attempt", engine(crash), responded, List.of(BLOCK, request), crash);
+        }
+        assertEquals(!responded, poison.poisonIn(List.of(BLOCK), 3).isPresent());
+    }
+
     /** Guards against a poison block that no daemon records, since several of them have seen its crashes. */
     @ParameterizedTest
     @CsvSource({"0, 0", "1, 1", "2, 1", "3, 1"})
