Keep a stream at the software version that began it

Cause: the daemon knew neither the versions of engines nor which version had begun a stream. Its own retry after the first event went to any engine, and so did an attempt of a caller that takes a stream up, at this daemon or another one. The version that began a stream is one more fact that one daemon learns and all have to keep.

StreamVersionTest on the commit before: six of seven tests mixed versions, within an answer, at another daemon, at one that starts later or has just started, and after the version left.

Change: the daemon that gets a stream's first event records the version under the attempt's id and tells the others with its gossip, until the caller's deadline. Only decode engines of that version are candidates then. A daemon that does not know the origin takes the only version that can have begun it, by a current list that it has followed for 30 s; otherwise it waits for gossip for up to 0.3 s and refuses. If no engine of the version is left, the request is refused at once.

Why it works: a stream goes on at a version that its first daemon has told, or at the only one there has been; there is no third way.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -1,6 +1,5 @@
 package org.ragwortpitch.edge;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -53,6 +52,7 @@
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.poison.CrashCause;
 import org.ragwortpitch.poison.EndpointCrash;
+import org.ragwortpitch.resumption.StreamOrigins;
 import org.ragwortpitch.scaling.PoolDemand;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 
@@ -96,6 +96,7 @@
     private final PeerView peers;
     private final AccountRateLimits accounts;
     private final PoolDemands demands = new PoolDemands();
+    private final StreamOrigins origins = new StreamOrigins();
     private final PoisonRequests poison = new PoisonRequests(this::recordPoison);
     private final EndpointTable table;
     private final RetryBudgets retryBudgets;
@@ -130,7 +131,7 @@
         ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
         EndpointPermits permits = new EndpointPermits(
                 settings.instance(), () -> peers.daemons(clockMillis.getAsLong()), this::medianMillis);
-        table = new EndpointTable(permits, connections::closeIdle);
+        table = new EndpointTable(permits, settings.firstStart(), connections::closeIdle);
         retryBudgets = new RetryBudgets(
                 bounds,
                 new RetryShares(settings.firstStart(), clockMillis.getAsLong()),
@@ -138,15 +139,19 @@
                 metrics::recordBudgetDenial);
         gateway = new Gateway(trafficContext(connections), new BufferingHttpCaller(trafficLoop, connections));
         front = closer.add(new FrontServer(
-                trafficLoop, socketAddress(settings.frontAddress()), gateway::limits, gateway, clockMillis));
+                trafficLoop,
+                ConnectionPool.socketAddress(settings.frontAddress()),
+                gateway::limits,
+                gateway,
+                clockMillis));
         GossipSocket socket = closer.add(new GossipSocket(
                 trafficLoop, new InetSocketAddress(settings.ip(), settings.peerPort()), this::onGossip));
         self = new Daemon(
                 settings.instance(),
                 wallMillis.getAsLong(),
                 settings.domain(),
-                hostAndPort(front.address()),
-                hostAndPort(socket.address()));
+                ConnectionPool.hostAndPort(front.address()),
+                ConnectionPool.hostAndPort(socket.address()));
         gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced);
         ready = listen(settings.readyAddress(), query -> readiness());
         AddressDirectory addresses =
@@ -164,7 +169,18 @@
 
     private GossipContext gossipContext() {
         return new GossipContext(
-                self, peers, table, accounts, demands, poison, usage, this::isReady, median, clockMillis, wallMillis);
+                self,
+                peers,
+                table,
+                accounts,
+                demands,
+                poison,
+                origins,
+                usage,
+                this::isReady,
+                median,
+                clockMillis,
+                wallMillis);
     }
 
     private TrafficContext trafficContext(ConnectionPool connections) {
@@ -180,6 +196,7 @@
                 usage,
                 demands,
                 poison,
+                origins,
                 metrics);
     }
 
@@ -202,7 +219,7 @@
     }
 
     private SmallServer listen(String address, Function<QueryStringDecoder, SmallAnswer> handler) {
-        return closer.add(new SmallServer(trafficLoop, socketAddress(address), handler));
+        return closer.add(new SmallServer(trafficLoop, ConnectionPool.socketAddress(address), handler));
     }
 
     private void onGossip(Gossip gossip) {
@@ -325,18 +342,6 @@
         controlLoop.execute(() -> control.recordPoison(cause, record));
     }
 
-    private void applyPoison(byte[] record) {
-        long now = clockMillis.getAsLong();
-        try {
-            EndpointCrashCodec.decodeRecord(record, now, medianMillis())
-                    .forEach(crash -> poison.mergeCrash(crash, now));
-        } catch (InvalidProtocolBufferException exception) {
-            Event.of("poison-block-unreadable")
-                    .with("reason", exception.getMessage())
-                    .warn(LOGGER);
-        }
-    }
-
     private void publishSamples() {
         Map<PoolId, PoolDemand> sample = demands.sample(table, clockMillis.getAsLong());
         Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = gossiper.receivedCounts();
@@ -346,15 +351,6 @@
         });
     }
 
-    private static String hostAndPort(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
-    private static InetSocketAddress socketAddress(String address) {
-        int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    }
-
     /**
      * Forwards changes of the store's content to the traffic thread.
      */
@@ -379,6 +375,11 @@
             });
         }
 
+        @Override
+        public void onEndpointsRead() {
+            trafficLoop.execute(() -> table.recordRead(clockMillis.getAsLong()));
+        }
+
         @Override
         public void onRoleChanges(Collection<EndpointId> changing) {
             trafficLoop.execute(() -> gossiper.setChangingEndpoints(changing));
@@ -391,7 +392,7 @@
 
         @Override
         public void onPoison(byte[] crashes) {
-            trafficLoop.execute(() -> applyPoison(crashes));
+            trafficLoop.execute(() -> poison.mergeRecord(crashes, clockMillis.getAsLong(), medianMillis()));
         }
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -164,12 +164,13 @@
      */
     public void start() {
         register();
-        follow(StoreCodec.OPERATORS_TOPIC, 0, DEPLOYMENT_WAIT_MILLIS, this::applyDeployments);
+        follow(StoreCodec.OPERATORS_TOPIC, 0, DEPLOYMENT_WAIT_MILLIS, this::applyDeployments, () -> {});
         long endpointsPauseMillis =
                 Math.max(ENDPOINTS_READ_MARGIN_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_READ_MARGIN_MILLIS);
-        endpointsFollower = follow(StoreCodec.ENDPOINTS_TOPIC, endpointsPauseMillis, 0, this::applyEndpoints);
-        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, DAEMONS_WAIT_MILLIS, this::applyDaemons);
-        follow(StoreCodec.POISON_TOPIC, 0, POISON_WAIT_MILLIS, this::applyPoison);
+        endpointsFollower = follow(
+                StoreCodec.ENDPOINTS_TOPIC, endpointsPauseMillis, 0, this::applyEndpoints, listener::onEndpointsRead);
+        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, DAEMONS_WAIT_MILLIS, this::applyDaemons, () -> {});
+        follow(StoreCodec.POISON_TOPIC, 0, POISON_WAIT_MILLIS, this::applyPoison, () -> {});
         loop.scheduleWithFixedDelay(
                 this::dropMissing, MISSING_CHECK_MILLIS, MISSING_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         duties.start();
@@ -268,7 +269,8 @@
         loop.schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private TopicFollower follow(String topic, long pauseMillis, long waitMillis, RecordConsumer consumer) {
+    private TopicFollower follow(
+            String topic, long pauseMillis, long waitMillis, RecordConsumer consumer, Runnable afterRead) {
         TopicFollower follower = new TopicFollower(loop, store, topic, pauseMillis, waitMillis, new TopicListener() {
             @Override
             public void onLoaded(List<KeyedRecord> records) {
@@ -279,6 +281,11 @@
             public void onRecords(List<KeyedRecord> records) {
                 consumer.accept(records, false);
             }
+
+            @Override
+            public void onRead() {
+                afterRead.run();
+            }
         });
         follower.start();
         return follower;
--- a/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
@@ -23,6 +23,11 @@
      */
     void onEndpoints(Collection<Endpoint> endpoints, long changedOffset);
 
+    /**
+     * Called after each successful reading of the endpoints' list, and after {@link #onEndpoints} if it changed.
+     */
+    void onEndpointsRead();
+
     /**
      * Called with the endpoints that are switching roles on this daemon's orders.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -101,6 +101,7 @@
                     .with("offset", offset)
                     .info(LOGGER);
             listener.onLoaded(loaded);
+            listener.onRead();
             read();
         } catch (CodecException exception) {
             logUnreadable(exception);
@@ -136,6 +137,7 @@
             if (!records.isEmpty()) {
                 listener.onRecords(records);
             }
+            listener.onRead();
             next = schedule(offset <= announcedOffset ? RETRY_MILLIS : pauseMillis, this::read);
         } catch (CodecException exception) {
             logUnreadable(exception);
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicListener.java
@@ -17,4 +17,9 @@
      * Called with newer records, in order.
      */
     void onRecords(List<KeyedRecord> records);
+
+    /**
+     * Called after each successful reading, whether it brought records or not.
+     */
+    void onRead();
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -163,7 +163,17 @@
         return pending;
     }
 
-    private static InetSocketAddress socketAddress(String address) {
+    /**
+     * Returns the host and port of a socket address, separated by a colon.
+     */
+    public static String hostAndPort(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /**
+     * Returns the socket address of a host and port, separated by a colon.
+     */
+    public static InetSocketAddress socketAddress(String address) {
         int colon = address.lastIndexOf(':');
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -3,9 +3,11 @@
 import java.lang.System.Logger;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -14,7 +16,9 @@
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.resumption.ListedVersions;
 
 /**
  * The endpoints in the current listing, with the state of each. Confined to the traffic thread.
@@ -27,15 +31,19 @@
 
     private final EndpointPermits permits;
     private final Consumer<String> onAddressRemoved;
+    private final boolean firstStart;
+    private final Map<PoolId, ListedVersions> versions = new HashMap<>();
     private Map<EndpointId, EndpointState> states = new HashMap<>();
 
     /**
      * Creates a table without endpoints.
      *
      * @param permits          which endpoints may get a request, as far as they limit the rate
+     * @param firstStart       whether the whole fleet starts for the first time
      * @param onAddressRemoved called with the address of each endpoint incarnation that is no longer listed
      */
-    public EndpointTable(EndpointPermits permits, Consumer<String> onAddressRemoved) {
+    public EndpointTable(EndpointPermits permits, boolean firstStart, Consumer<String> onAddressRemoved) {
+        this.firstStart = firstStart;
         this.permits = permits;
         this.onAddressRemoved = onAddressRemoved;
     }
@@ -71,6 +79,27 @@
         states = next;
     }
 
+    /**
+     * Records that the present listing was read from the store, or read again without a change.
+     */
+    public void recordRead(long nowMillis) {
+        Map<PoolId, Set<SoftwareVersion>> listed = new HashMap<>();
+        versions.keySet().forEach(pool -> listed.put(pool, new HashSet<>()));
+        states.values().stream().filter(state -> state.engine() != null).forEach(state -> listed.computeIfAbsent(
+                        state.endpoint().pool(), pool -> new HashSet<>())
+                .add(state.endpoint().version()));
+        listed.forEach((pool, now) -> versions.computeIfAbsent(pool, id -> new ListedVersions(firstStart))
+                .read(now, nowMillis));
+    }
+
+    /**
+     * Returns the only software version of a pool's engines that can have begun a stream which is taken up now; empty
+     * if there may be several.
+     */
+    Optional<SoftwareVersion> onlyVersion(PoolId pool, long nowMillis) {
+        return Optional.ofNullable(versions.get(pool)).flatMap(listed -> listed.only(nowMillis));
+    }
+
     /**
      * Returns the endpoints of a pool that can get requests: those that are healthy, not avoided and not settling, or
      * all available ones if there are none.
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -8,6 +8,7 @@
 import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.placement.EngineChooser;
 import org.ragwortpitch.placement.Placement;
 
@@ -20,30 +21,55 @@
     /**
      * Returns the engines with the lowest cost; empty if none can decode.
      *
-     * @param tried engines that the generation was sent to
+     * @param version the software version at which the stream has to go on; empty if it may begin at any
+     * @param tried   engines that the generation was sent to
      */
-    Optional<Placement> place(Set<EndpointId> tried, long nowMillis) {
-        return choose(endpoints.usable(pool, tried, nowMillis)).or(() -> choose(endpoints.available(pool, tried)));
+    Optional<Placement> place(Optional<SoftwareVersion> version, Set<EndpointId> tried, long nowMillis) {
+        return choose(version, endpoints.usable(pool, tried, nowMillis))
+                .or(() -> choose(version, endpoints.available(pool, tried)));
     }
 
-    private Optional<Placement> choose(List<EndpointState> candidates) {
+    private Optional<Placement> choose(Optional<SoftwareVersion> version, List<EndpointState> candidates) {
         return chooser.choose(
-                generation, candidates.stream().map(EndpointState::engine).toList());
+                generation,
+                candidates.stream()
+                        .filter(state -> !isDecoder(state) || hasVersion(state, version))
+                        .map(EndpointState::engine)
+                        .toList());
+    }
+
+    /**
+     * Returns whether the pool has a decode engine of a version that stays, whatever its health and load.
+     */
+    boolean hasDecoder(SoftwareVersion version) {
+        return endpoints.notLeaving(pool, Set.of()).stream()
+                .anyMatch(state -> isDecoder(state) && hasVersion(state, Optional.of(version)));
     }
 
     /**
      * Returns the decode engine with the fewest requests.
      *
-     * @param tried engines that the generation was sent to
+     * @param version the software version at which the stream has to go on; empty if it may begin at any
+     * @param tried   engines that the generation was sent to
      */
-    Optional<EndpointState> leastLoadedDecoder(Set<EndpointId> tried, long nowMillis) {
-        return leastLoadedDecoder(endpoints.usable(pool, tried, nowMillis))
-                .or(() -> leastLoadedDecoder(endpoints.available(pool, tried)));
+    Optional<EndpointState> leastLoadedDecoder(
+            Optional<SoftwareVersion> version, Set<EndpointId> tried, long nowMillis) {
+        return leastLoadedDecoder(version, endpoints.usable(pool, tried, nowMillis))
+                .or(() -> leastLoadedDecoder(version, endpoints.available(pool, tried)));
+    }
+
+    private static boolean isDecoder(EndpointState state) {
+        return state.endpoint().role() == EndpointRole.DECODE;
+    }
+
+    private static boolean hasVersion(EndpointState state, Optional<SoftwareVersion> version) {
+        return version.isEmpty() || version.get().equals(state.endpoint().version());
     }
 
-    private static Optional<EndpointState> leastLoadedDecoder(List<EndpointState> candidates) {
+    private static Optional<EndpointState> leastLoadedDecoder(
+            Optional<SoftwareVersion> version, List<EndpointState> candidates) {
         return candidates.stream()
-                .filter(state -> state.endpoint().role() == EndpointRole.DECODE)
+                .filter(state -> isDecoder(state) && hasVersion(state, version))
                 .min(Comparator.comparingInt(state -> state.engine().totalRunning()));
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.edge.traffic;
 
 import java.util.Optional;
+import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.placement.Placement;
 
 /**
@@ -29,6 +30,26 @@
         return reason.isPresent();
     }
 
+    /**
+     * Refuses the request as no engine can decode it now.
+     *
+     * @param goneVersion      the software version at which its stream has to go on, if no engine of it is left
+     * @param others           how many engines of the pool the request was not sent to
+     * @param retryAfterMillis when another engine may be found, in milliseconds
+     */
+    void refuseForLackOfEngines(
+            boolean mayHaveExecuted, Optional<SoftwareVersion> goneVersion, int others, long retryAfterMillis) {
+        if (goneVersion.isPresent()) {
+            exchange.failOrRefuse(
+                    mayHaveExecuted,
+                    0,
+                    "no engine of software version " + goneVersion.get() + ", which began the stream, is left: begin it"
+                            + " anew");
+        } else {
+            exchange.failOrRefuse(mayHaveExecuted, retryAfterMillis, "no engine can decode; other engines: " + others);
+        }
+    }
+
     /**
      * Refuses the request if its first event is estimated to come too late, or to wait too long in a queue.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -31,6 +31,8 @@
 
     private static final int BAD_GATEWAY = 502;
 
+    private static final int UNAVAILABLE = 503;
+
     private static final int GATEWAY_TIMEOUT = 504;
 
     /** Sends of one request, refused ones included; further sends rarely find a free slot. */
@@ -48,6 +50,7 @@
     private final TransferredKvCache kvCache;
     private final GenerationChecks checks;
     private final StallDetector stallDetector;
+    private final StreamResumption resumption;
     private final Set<EndpointId> tried = new HashSet<>();
     private Cancellation current = Cancellation.NONE;
     private int sends;
@@ -69,6 +72,7 @@
         this.pool = pool;
         this.generation = generation;
         this.lastEventId = StreamEvent.parseId(exchange.request().headers().get(Headers.LAST_EVENT));
+        this.resumption = new StreamResumption(context, exchange, pool, lastEventId);
         this.log = new GenerationLog(
                 exchange.attemptId(), event -> context.retryBudgets().describe(event, pool, now()));
         this.kvCache = new TransferredKvCache(caller, exchange.attemptId());
@@ -87,7 +91,7 @@
             current.cancel();
             kvCache.free();
         });
-        place(now);
+        resumption.resolve(() -> place(now()), reason -> exchange.refuse(UNAVAILABLE, 0, reason));
     }
 
     @Override
@@ -99,13 +103,13 @@
         if (checks.refuseIfPoison(executions > 0)) {
             return;
         }
-        Optional<Placement> choice = engines.place(tried, now);
+        Optional<Placement> choice = engines.place(resumption.version(), tried, now);
         if (choice.isEmpty()) {
-            int others = context.endpoints().notLeaving(pool, tried).size();
-            exchange.failOrRefuse(
+            checks.refuseForLackOfEngines(
                     executions > 0,
-                    context.endpoints().retryAfterMillis(pool, GenerationChecks.RETRY_AFTER_MILLIS),
-                    "no engine can decode; other engines: " + others);
+                    resumption.version().filter(version -> !engines.hasDecoder(version)),
+                    context.endpoints().notLeaving(pool, tried).size(),
+                    context.endpoints().retryAfterMillis(pool, GenerationChecks.RETRY_AFTER_MILLIS));
             return;
         }
         placement = choice.get();
@@ -220,6 +224,7 @@
                 run.target().engine().recordLatency(stallDetector.elapsedMillis(), placement.firstEventMillis());
             }
             run.target().health().succeeded();
+            resumption.recordBegun(run.target().endpoint().version());
             exchange.recordResponse(run.target(), run.sentMillis());
             exchange.beginStream(200, run.headers());
             context.metrics()
@@ -306,7 +311,7 @@
      */
     private void transferOrRetry(String reason) {
         long now = now();
-        Optional<EndpointState> other = engines.leastLoadedDecoder(tried, now);
+        Optional<EndpointState> other = engines.leastLoadedDecoder(resumption.version(), tried, now);
         if (kvCache.isAvailable()
                 && other.isPresent()
                 && sends < MAX_SENDS
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipContext.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipContext.java
@@ -6,6 +6,7 @@
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.ledger.WindowCounts;
+import org.ragwortpitch.resumption.StreamOrigins;
 
 /**
  * The collaborators of a {@link Gossiper}: the sources of gossip that it sends and the receivers of gossip from peers.
@@ -22,6 +23,7 @@
         AccountRateLimits accounts,
         PoolDemands demands,
         PoisonRequests poisonRequests,
+        StreamOrigins origins,
         WindowCounts usage,
         BooleanSupplier ready,
         MedianClock agreed,
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -27,11 +27,11 @@
  */
 final class GossipWriter {
 
-    /** Rounds in which a crash is told after each change; tolerates two lost datagrams. */
-    private static final int ROUNDS_OF_NEW_CRASHES = 3;
+    /** Rounds in which a fact is told after each change; tolerates two lost datagrams. */
+    private static final int ROUNDS_OF_NEW_FACTS = 3;
 
-    /** Every so many rounds all crashes are told, which may be several KB for the slowest link. */
-    private static final int ROUNDS_BETWEEN_ALL_CRASHES = 5;
+    /** Every so many rounds all facts are told, which may be several KB for the slowest link. */
+    private static final int ROUNDS_BETWEEN_ALL_FACTS = 5;
 
     /** How long daemons tell each other that an endpoint has no limit any more, in milliseconds. */
     private static final long ENDED_LIMIT_MILLIS = 30_000;
@@ -79,6 +79,9 @@
                         PoolReading.newBuilder().setPool(pool.value()).setTokens(tokens)));
         forEachEngine(state -> addLoad(gossip, state, state.engine().load(peer -> false), state.nextSentBlocks(times)));
         addLimits(gossip, EndpointPacer::own);
+        long nowMillis = context.clockMillis().getAsLong();
+        gossip.addAllBegunStreams(StreamOriginCodec.encode(
+                context.origins().ownSince(toldSinceMillis(times, nowMillis), nowMillis), nowMillis));
         return gossip.build().toByteArray();
     }
 
@@ -105,6 +108,8 @@
         forEachEngine(state -> addLoad(
                 gossip, state, state.engine().load(context.peers()::isDirect), state.nextBlocksSentInDomain(times)));
         addLimits(gossip, EndpointPacer::inDomain);
+        gossip.addAllBegunStreams(StreamOriginCodec.encode(
+                context.origins().knownSince(toldSinceMillis(times, nowMillis), nowMillis), nowMillis));
         return gossip.build().toByteArray();
     }
 
@@ -124,15 +129,15 @@
     }
 
     /**
-     * Returns since when a crash must have changed to be told now: within the last rounds, or ever in one of several
+     * Returns since when a fact must have changed to be told now: within the last rounds, or ever in one of several
      * rounds, for daemons that have missed it.
      *
      * @param steps steps of a round
      */
     private static long toldSinceMillis(int steps, long nowMillis) {
         long roundMillis = steps * GossipRound.STEP_MILLIS;
-        boolean all = nowMillis / roundMillis % ROUNDS_BETWEEN_ALL_CRASHES == 0;
-        return all ? Long.MIN_VALUE : nowMillis - ROUNDS_OF_NEW_CRASHES * roundMillis;
+        boolean all = nowMillis / roundMillis % ROUNDS_BETWEEN_ALL_FACTS == 0;
+        return all ? Long.MIN_VALUE : nowMillis - ROUNDS_OF_NEW_FACTS * roundMillis;
     }
 
     private void addLimits(Gossip.Builder gossip, Function<EndpointPacer, Optional<LimitReading>> source) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -107,9 +107,12 @@
             onEndpointsChanged.accept(gossip.getEndpointsChanged() - 1);
         }
         long now = context.clockMillis().getAsLong();
-        // Crashes and limits count whoever reports them, also before the list of daemons is read.
+        // Crashes, limits and the origins of streams count whoever reports them, also before the list of daemons is
+        // read.
         gossip.getCrashedEndpointsList()
                 .forEach(crash -> context.poisonRequests().mergeCrash(EndpointCrashCodec.decode(crash, now), now));
+        gossip.getBegunStreamsList().forEach(streams -> StreamOriginCodec.decode(streams, now)
+                .forEach(origin -> context.origins().learn(origin, now)));
         boolean direct = gossip.getDigestOf().isEmpty() && peers.isDirect(peer);
         gossip.getLimitsList().forEach(limit -> receiveLimit(limit, direct, now));
         if (!gossip.getDigestOf().isEmpty()) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
@@ -1,5 +1,6 @@
 package org.ragwortpitch.edge.traffic;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.buffer.ByteBufUtil;
 import java.lang.System.Logger;
 import java.util.ArrayList;
@@ -130,6 +131,22 @@
         announcePoison(nowMillis);
     }
 
+    /**
+     * Merges a record of crashes from the store; logs one that cannot be read.
+     *
+     * @param wallMillis the wall clock, in milliseconds since 1970
+     */
+    public void mergeRecord(byte[] record, long nowMillis, long wallMillis) {
+        try {
+            EndpointCrashCodec.decodeRecord(record, nowMillis, wallMillis)
+                    .forEach(crash -> mergeCrash(crash, nowMillis));
+        } catch (InvalidProtocolBufferException exception) {
+            Event.of("poison-block-unreadable")
+                    .with("reason", exception.getMessage())
+                    .warn(LOGGER);
+        }
+    }
+
     /**
      * Returns the crashes of endpoints of which more is known since a time.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
@@ -6,6 +6,7 @@
 import org.ragwortpitch.edge.http.ConnectionPool;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.ledger.WindowCounts;
+import org.ragwortpitch.resumption.StreamOrigins;
 
 /**
  * The collaborators that all requests share.
@@ -27,4 +28,5 @@
         WindowCounts usage,
         PoolDemands demands,
         PoisonRequests poisonRequests,
+        StreamOrigins origins,
         EdgeMetrics metrics) {}
--- a/edge/src/test/java/org/ragwortpitch/edge/StreamVersionTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StreamVersionTest.java
@@ -223,7 +223,7 @@
         resumeAll(edge, begun);
     }
 
-    /** Guards against a daemon that starts when the version which began the stream has just gone, and takes the other. */
+    /** Guards against a daemon that starts when the version which began a stream has just gone, and takes another. */
     @Test
     void testDaemonThatHasJustStartedDoesNotGuessTheVersionOfAStream() throws Exception {
         Edge first = daemons.start("front-1");
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -61,6 +61,7 @@
     private volatile String crashPath = "";
     private volatile long startMillis = 1;
     private volatile String version = "v1";
+    private volatile String eventData = "x";
 
     public StandinEndpoint(String id) {
         this.id = id;
@@ -104,6 +105,7 @@
      */
     public void version(String newVersion) {
         version = newVersion;
+        eventData = newVersion;
     }
 
     /**
@@ -268,7 +270,7 @@
             response.sendChunk(text("id: " + event + "\nda"));
             loops.loop().execute(response::abort);
         } else {
-            response.sendChunk(text("id: " + event + "\ndata: " + version + "\n\n"));
+            response.sendChunk(text("id: " + event + "\ndata: " + eventData + "\n\n"));
             runAfterPace(() -> event(response, event + 1));
         }
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -124,7 +124,8 @@
                 .header(
                         Headers.PREFIX_BLOCKS,
                         "a1:1000," + Long.toHexString(UUID.randomUUID().getMostSignificantBits()) + ":1000")
-                .POST(HttpRequest.BodyPublishers.ofString("prompt"));
+                .POST(HttpRequest.BodyPublishers.ofString(
+                        "prompt " + headers.getOrDefault(Headers.RESUMED_ATTEMPT, attempt)));
         headers.forEach(request::header);
         return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofInputStream());
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -38,6 +38,9 @@
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.pacing.EndpointPacer;
 import org.ragwortpitch.poison.CrashCause;
+import org.ragwortpitch.resumption.StreamId;
+import org.ragwortpitch.resumption.StreamOrigin;
+import org.ragwortpitch.resumption.StreamOrigins;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 
 /**
@@ -209,6 +212,25 @@
         assertTrue(started.poison.poisonIn(causes, nowMillis).isPresent());
     }
 
+    /** Guards against streams of which only daemons know that were there and in reach when they began. */
+    @Test
+    void testDaemonsLearnWhichSoftwareVersionBeganAStream() {
+        StreamId stream = StreamId.of("attempt");
+        SoftwareVersion version = new SoftwareVersion("v1");
+        members.get("a2").origins.began(new StreamOrigin(stream, version, nowMillis, nowMillis + 30 * SECOND_MILLIS));
+        advance(SECOND_MILLIS);
+        members.forEach((name, member) ->
+                assertEquals(Optional.of(version), member.origins.versionOf(stream, nowMillis), name));
+        advance(10 * SECOND_MILLIS);
+        Member started = new Member("b2");
+        members.put("b2", started);
+        started.applyListing();
+        advance(4 * SECOND_MILLIS);
+        assertEquals(Optional.of(version), started.origins.versionOf(stream, nowMillis));
+        advance(20 * SECOND_MILLIS);
+        assertEquals(Optional.empty(), started.origins.versionOf(stream, nowMillis));
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
@@ -234,6 +256,7 @@
         private final PeerView peers;
         private final AccountRateLimits accounts = new AccountRateLimits(true);
         private final PoisonRequests poison = new PoisonRequests((block, crashes) -> {});
+        private final StreamOrigins origins = new StreamOrigins();
         private final EndpointTable endpoints;
         private final Gossiper gossiper;
         private long endpointsChanged = -1;
@@ -242,7 +265,9 @@
             self = new Daemon(new InstanceId(name), 1, new FailureDomain(name.substring(0, 1)), name, name);
             peers = new PeerView(self.id(), self.domain(), 2);
             endpoints = new EndpointTable(
-                    new EndpointPermits(self.id(), () -> peers.daemons(nowMillis), () -> nowMillis), address -> {});
+                    new EndpointPermits(self.id(), () -> peers.daemons(nowMillis), () -> nowMillis),
+                    true,
+                    address -> {});
             Deployment deployment = new Deployment(
                     1,
                     List.of(),
@@ -271,6 +296,7 @@
                     accounts,
                     new PoolDemands(),
                     poison,
+                    origins,
                     new WindowCounts(5_000),
                     () -> true,
                     new MedianClock(nowMillis, nowMillis),
