Keep the origin of a stream until its caller stops waiting

Cause: the origin of a stream was forgotten a second after the deadline of the exchange, which the route's timeout may end before the caller's own. A caller that states a very long time could overflow the field in the gossip. Measured: StreamVersionTest.testStreamGoesOnAfterTheTimeoutOfItsRoute failed on (refused) and passes now; StreamOriginsTest and ResumptionHistoryTest pass.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -47,6 +47,7 @@
     private final Optional<AccountSpec> account;
     private final long tokens;
     private final long deadlineMillis;
+    private final long callerDeadlineMillis;
     private final boolean limitedByRouteTimeout;
     private String sentEndpoints = "";
     private long firstEventMillis;
@@ -82,6 +83,7 @@
         this.prefixBlocks = prefixBlocks;
         this.sends = sends;
         this.limitedByRouteTimeout = callerMillis - ANSWER_MARGIN_MILLIS > route.timeoutMillis();
+        this.callerDeadlineMillis = request.arrivedMillis() + callerMillis;
         this.deadlineMillis =
                 request.arrivedMillis() + Math.min(callerMillis - ANSWER_MARGIN_MILLIS, route.timeoutMillis());
     }
@@ -118,6 +120,13 @@
         return deadlineMillis - nowMillis;
     }
 
+    /**
+     * Returns when the caller stops waiting, which may be after the deadline of this exchange.
+     */
+    long callerDeadlineMillis() {
+        return callerDeadlineMillis;
+    }
+
     /**
      * Sets the action that runs once when the exchange ends, whatever its outcome.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamResumption.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamResumption.java
@@ -92,7 +92,7 @@
                         takenUp.orElseGet(() -> StreamId.of(exchange.attemptId())),
                         begunAt,
                         now,
-                        now + exchange.remainingMillis(now)));
+                        exchange.callerDeadlineMillis()));
     }
 
     private long now() {
--- a/policy/src/main/java/org/ragwortpitch/resumption/StreamOrigins.java
+++ b/policy/src/main/java/org/ragwortpitch/resumption/StreamOrigins.java
@@ -21,7 +21,7 @@
     /** How long after the caller's deadline a stream is kept, in milliseconds: clocks and transit differ. */
     private static final long MARGIN_MILLIS = 1_000;
 
-    /** Longest time that a stream is kept, in milliseconds, whatever the caller states. */
+    /** Longest wait of a caller for which its stream is kept, in milliseconds, whatever it states. */
     private static final long MAX_KEPT_MILLIS = 60_000;
 
     /** The oldest first. */
@@ -30,10 +30,11 @@
     private final Map<StreamId, StreamOrigin> told = new LinkedHashMap<>();
 
     /**
-     * Records that a stream has begun here, or goes on here and is still to be told.
+     * Records that a stream has begun here, or goes on here.
      */
     public void began(StreamOrigin origin) {
-        put(own, origin);
+        long untilMillis = Math.min(origin.untilMillis(), origin.atMillis() + MAX_KEPT_MILLIS);
+        put(own, new StreamOrigin(origin.stream(), origin.version(), origin.atMillis(), untilMillis));
     }
 
     /**
@@ -79,7 +80,7 @@
     }
 
     private static boolean isExpired(StreamOrigin origin, long nowMillis) {
-        return nowMillis > Math.min(origin.untilMillis() + MARGIN_MILLIS, origin.atMillis() + MAX_KEPT_MILLIS);
+        return nowMillis > origin.untilMillis() + MARGIN_MILLIS;
     }
 
     private static void put(Map<StreamId, StreamOrigin> origins, StreamOrigin origin) {
