Move the application of store content out of the daemon's main class

StoreUpdates is its inner class TrafficForwarder with the two fields that only it used; no logic changes.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -6,7 +6,6 @@
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.util.Collection;
-import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.concurrent.TimeUnit;
@@ -18,11 +17,8 @@
 import org.ragwortpitch.clock.MedianClock;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.deployment.Daemon;
-import org.ragwortpitch.deployment.Deployment;
-import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.draining.DrainWindow;
 import org.ragwortpitch.edge.control.Control;
-import org.ragwortpitch.edge.control.ControlListener;
 import org.ragwortpitch.edge.directory.AddressDirectory;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.directory.SmallAnswer;
@@ -45,7 +41,6 @@
 import org.ragwortpitch.edge.traffic.RetryBudgets;
 import org.ragwortpitch.edge.traffic.TrafficContext;
 import org.ragwortpitch.identity.AccountId;
-import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
 import org.ragwortpitch.ledger.WindowCounts;
@@ -106,9 +101,8 @@
     private final SmallServer ready;
     private final SmallServer directory;
     private final Gossiper gossiper;
+    private final StoreUpdates storeUpdates;
     private volatile InstanceSettings.Bounds bounds;
-    private Collection<Endpoint> endpoints = List.of();
-    private boolean endpointsKnown;
 
     /**
      * Creates a daemon whose servers are listening; {@link #start} begins to follow the store and to gossip.
@@ -153,6 +147,8 @@
                 ConnectionPool.hostAndPort(front.address()),
                 ConnectionPool.hostAndPort(socket.address()));
         gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced);
+        storeUpdates = new StoreUpdates(
+                trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
         ready = listen(settings.readyAddress(), query -> readiness());
         AddressDirectory addresses =
                 new AddressDirectory(peers, self, this::isReady, () -> bounds.maxTtlSeconds(), clockMillis);
@@ -207,7 +203,7 @@
                 new BufferingHttpCaller(controlLoop, connections),
                 settings,
                 self,
-                new TrafficForwarder(),
+                storeUpdates,
                 metrics,
                 clockMillis,
                 wallMillis,
@@ -322,7 +318,7 @@
 
     private boolean isReady() {
         return !stopping.get()
-                && endpointsKnown
+                && storeUpdates.endpointsKnown()
                 && peers.fleetSize(clockMillis.getAsLong()).isPresent()
                 && gateway.deployment().isPresent();
     }
@@ -350,49 +346,4 @@
             control.updatePeerCounts(peerCounts);
         });
     }
-
-    /**
-     * Forwards changes of the store's content to the traffic thread.
-     */
-    private final class TrafficForwarder implements ControlListener {
-
-        @Override
-        public void onDeployment(Deployment deployment) {
-            trafficLoop.execute(() -> {
-                gateway.apply(deployment);
-                table.apply(endpoints, deployment, clockMillis.getAsLong());
-                metrics.setVersion(deployment.version());
-            });
-        }
-
-        @Override
-        public void onEndpoints(Collection<Endpoint> now, long changedOffset) {
-            trafficLoop.execute(() -> {
-                endpoints = now;
-                gossiper.endpointsChangedAt(changedOffset);
-                endpointsKnown = true;
-                gateway.deployment().ifPresent(deployment -> table.apply(now, deployment, clockMillis.getAsLong()));
-            });
-        }
-
-        @Override
-        public void onEndpointsRead() {
-            trafficLoop.execute(() -> table.recordRead(clockMillis.getAsLong()));
-        }
-
-        @Override
-        public void onRoleChanges(Collection<EndpointId> changing) {
-            trafficLoop.execute(() -> gossiper.setChangingEndpoints(changing));
-        }
-
-        @Override
-        public void onDaemons(Collection<Daemon> daemons) {
-            trafficLoop.execute(() -> gossiper.apply(daemons));
-        }
-
-        @Override
-        public void onPoison(byte[] crashes) {
-            trafficLoop.execute(() -> poison.mergeRecord(crashes, clockMillis.getAsLong(), medianMillis()));
-        }
-    }
 }
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
@@ -0,0 +1,98 @@
+package org.ragwortpitch.edge;
+
+import io.netty.channel.EventLoop;
+import java.util.Collection;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.deployment.Deployment;
+import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.edge.control.ControlListener;
+import org.ragwortpitch.edge.directory.EdgeMetrics;
+import org.ragwortpitch.edge.traffic.EndpointTable;
+import org.ragwortpitch.edge.traffic.Gateway;
+import org.ragwortpitch.edge.traffic.Gossiper;
+import org.ragwortpitch.edge.traffic.PoisonRequests;
+import org.ragwortpitch.identity.EndpointId;
+
+/**
+ * Applies changes of the store's content on the traffic thread.
+ */
+final class StoreUpdates implements ControlListener {
+
+    private final EventLoop trafficLoop;
+    private final Gateway gateway;
+    private final EndpointTable table;
+    private final Gossiper gossiper;
+    private final PoisonRequests poison;
+    private final EdgeMetrics metrics;
+    private final LongSupplier clockMillis;
+    private final LongSupplier medianMillis;
+    private Collection<Endpoint> endpoints = List.of();
+    private boolean endpointsKnown;
+
+    StoreUpdates(
+            EventLoop trafficLoop,
+            Gateway gateway,
+            EndpointTable table,
+            Gossiper gossiper,
+            PoisonRequests poison,
+            EdgeMetrics metrics,
+            LongSupplier clockMillis,
+            LongSupplier medianMillis) {
+        this.trafficLoop = trafficLoop;
+        this.gateway = gateway;
+        this.table = table;
+        this.gossiper = gossiper;
+        this.poison = poison;
+        this.metrics = metrics;
+        this.clockMillis = clockMillis;
+        this.medianMillis = medianMillis;
+    }
+
+    /**
+     * Returns whether the endpoints' list has been read. Called on the traffic thread.
+     */
+    boolean endpointsKnown() {
+        return endpointsKnown;
+    }
+
+    @Override
+    public void onDeployment(Deployment deployment) {
+        trafficLoop.execute(() -> {
+            gateway.apply(deployment);
+            table.apply(endpoints, deployment, clockMillis.getAsLong());
+            metrics.setVersion(deployment.version());
+        });
+    }
+
+    @Override
+    public void onEndpoints(Collection<Endpoint> now, long changedOffset) {
+        trafficLoop.execute(() -> {
+            endpoints = now;
+            gossiper.endpointsChangedAt(changedOffset);
+            endpointsKnown = true;
+            gateway.deployment().ifPresent(deployment -> table.apply(now, deployment, clockMillis.getAsLong()));
+        });
+    }
+
+    @Override
+    public void onEndpointsRead() {
+        trafficLoop.execute(() -> table.recordRead(clockMillis.getAsLong()));
+    }
+
+    @Override
+    public void onRoleChanges(Collection<EndpointId> changing) {
+        trafficLoop.execute(() -> gossiper.setChangingEndpoints(changing));
+    }
+
+    @Override
+    public void onDaemons(Collection<Daemon> daemons) {
+        trafficLoop.execute(() -> gossiper.apply(daemons));
+    }
+
+    @Override
+    public void onPoison(byte[] crashes) {
+        trafficLoop.execute(() -> poison.mergeRecord(crashes, clockMillis.getAsLong(), medianMillis.getAsLong()));
+    }
+}
