Log when a daemon hears nothing from any endpoint of a pool

They can't tell a daemon that no endpoint answers from one with a few bad endpoints. pool-silent names the pool, how long nothing came from any of its endpoints, how many requests wait for them and how many connections failed meanwhile; pool-heard ends it. No logic changes.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -30,6 +30,7 @@
 import org.ragwortpitch.edge.peer.GossipSocket;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.edge.traffic.AccountRateLimits;
+import org.ragwortpitch.edge.traffic.EndpointContacts;
 import org.ragwortpitch.edge.traffic.EndpointCrashCodec;
 import org.ragwortpitch.edge.traffic.EndpointPermits;
 import org.ragwortpitch.edge.traffic.EndpointTable;
@@ -94,6 +95,7 @@
     private final StreamOrigins origins = new StreamOrigins();
     private final PoisonRequests poison = new PoisonRequests(this::recordPoison);
     private final EndpointTable table;
+    private final EndpointContacts contacts;
     private final RetryBudgets retryBudgets;
     private final Gateway gateway;
     private final Control control;
@@ -122,15 +124,12 @@
         controlLoop = newEventLoop();
         usage = new WindowCounts(bounds.usageWindowMillis());
         accounts = new AccountRateLimits(settings.firstStart());
-        ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
+        contacts = new EndpointContacts(this::endpointTable, clockMillis);
+        ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis, contacts);
         EndpointPermits permits = new EndpointPermits(
                 settings.instance(), () -> peers.daemons(clockMillis.getAsLong()), this::medianMillis);
         table = new EndpointTable(permits, settings.firstStart(), connections::closeIdle);
-        retryBudgets = new RetryBudgets(
-                bounds,
-                new RetryShares(settings.firstStart(), clockMillis.getAsLong()),
-                peers::fleetSize,
-                metrics::recordBudgetDenial);
+        retryBudgets = newRetryBudgets();
         gateway = new Gateway(trafficContext(connections), new BufferingHttpCaller(trafficLoop, connections));
         front = closer.add(new FrontServer(
                 trafficLoop,
@@ -147,8 +146,7 @@
                 ConnectionPool.hostAndPort(front.address()),
                 ConnectionPool.hostAndPort(socket.address()));
         gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced);
-        storeUpdates = new StoreUpdates(
-                trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
+        storeUpdates = newStoreUpdates();
         ready = listen(settings.readyAddress(), query -> readiness());
         AddressDirectory addresses =
                 new AddressDirectory(peers, self, this::isReady, () -> bounds.maxTtlSeconds(), clockMillis);
@@ -159,6 +157,15 @@
         control = control();
     }
 
+    private void stepTraffic() {
+        contacts.check();
+        gossiper.sendRound();
+    }
+
+    private EndpointTable endpointTable() {
+        return table;
+    }
+
     private void onEndpointsAnnounced(long offset) {
         controlLoop.execute(() -> control.endpointsChanged(offset));
     }
@@ -179,6 +186,19 @@
                 wallMillis);
     }
 
+    private RetryBudgets newRetryBudgets() {
+        return new RetryBudgets(
+                bounds,
+                new RetryShares(settings.firstStart(), clockMillis.getAsLong()),
+                peers::fleetSize,
+                metrics::recordBudgetDenial);
+    }
+
+    private StoreUpdates newStoreUpdates() {
+        return new StoreUpdates(
+                trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
+    }
+
     private TrafficContext trafficContext(ConnectionPool connections) {
         return new TrafficContext(
                 trafficLoop,
@@ -233,7 +253,7 @@
      */
     public void start() {
         trafficLoop.scheduleWithFixedDelay(
-                gossiper::sendRound, GossipRound.STEP_MILLIS, GossipRound.STEP_MILLIS, TimeUnit.MILLISECONDS);
+                this::stepTraffic, GossipRound.STEP_MILLIS, GossipRound.STEP_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
                 () -> recordUsage(usage.drainEnded(medianMillis())), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(this::publishSamples, SAMPLE_MILLIS, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -41,6 +41,7 @@
 
     private final EventLoop loop;
     private final LongSupplier clockMillis;
+    private final ConnectionObserver observer;
     private final Bootstrap bootstrap;
     private final Map<String, Deque<OutboundConnection>> idle = new HashMap<>();
     private long opened;
@@ -52,8 +53,20 @@
      * @param clockMillis   the monotonic clock, in milliseconds
      */
     public ConnectionPool(EventLoop loop, int connectMillis, LongSupplier clockMillis) {
+        this(loop, connectMillis, clockMillis, ConnectionObserver.NONE);
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param connectMillis the connect timeout, in milliseconds
+     * @param clockMillis   the monotonic clock, in milliseconds
+     * @param observer      learns which addresses can be reached
+     */
+    public ConnectionPool(EventLoop loop, int connectMillis, LongSupplier clockMillis, ConnectionObserver observer) {
         this.loop = loop;
         this.clockMillis = clockMillis;
+        this.observer = observer;
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -99,6 +112,10 @@
         return clockMillis.getAsLong();
     }
 
+    void heard(OutboundConnection connection) {
+        observer.onHeard(connection.address());
+    }
+
     /**
      * Returns a connection to the pool after a complete response. Beyond the limit, closes the least recently used.
      */
@@ -150,6 +167,11 @@
                 })
                 .connect(socketAddress(address));
         connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                observer.onHeard(address);
+            } else if (!pending.cancelled) {
+                observer.onConnectFailed(address);
+            }
             if (pending.cancelled) {
                 connecting.channel().close();
             } else if (done.isSuccess()) {
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -109,6 +109,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        pool.heard(this);
         try {
             HttpObject part = (HttpObject) message;
             if (listener == null) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -34,6 +34,7 @@
     private final boolean firstStart;
     private final Map<PoolId, ListedVersions> versions = new HashMap<>();
     private Map<EndpointId, EndpointState> states = new HashMap<>();
+    private Map<String, PoolId> poolsByAddress = Map.of();
 
     /**
      * Creates a table without endpoints.
@@ -77,6 +78,11 @@
             }
         });
         states = next;
+        poolsByAddress = next.values().stream()
+                .collect(Collectors.toMap(
+                        state -> state.endpoint().address(),
+                        state -> state.endpoint().pool(),
+                        (one, other) -> other));
     }
 
     /**
@@ -165,6 +171,30 @@
         return states.values();
     }
 
+    /**
+     * Returns the pool that the endpoint at an address serves; empty if none is listed there.
+     */
+    Optional<PoolId> poolAt(String address) {
+        return Optional.ofNullable(poolsByAddress.get(address));
+    }
+
+    /**
+     * Returns the pools that have endpoints, leaving ones included.
+     */
+    Set<PoolId> pools() {
+        return Set.copyOf(poolsByAddress.values());
+    }
+
+    /**
+     * Returns how many requests of this daemon the endpoints of a pool are executing or have yet to answer.
+     */
+    int running(PoolId pool) {
+        return states.values().stream()
+                .filter(state -> state.endpoint().pool().equals(pool))
+                .mapToInt(EndpointState::running)
+                .sum();
+    }
+
     /**
      * Returns the state of an endpoint; null if it is not listed.
      */
