--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
@@ -15,14 +15,21 @@
     private Settings() {}
 
     public static InstanceSettings of(String instance, StandinStore store, long windowMillis, long lateMillis) {
-        return of(instance, store, bounds(0.2, 50, windowMillis, lateMillis));
+        return of(instance, store.address(), bounds(0.2, 50, windowMillis, lateMillis));
+    }
+
+    /**
+     * Returns settings of a daemon that uses one of the addresses of a store.
+     */
+    public static InstanceSettings at(String instance, String storeAddress) {
+        return of(instance, storeAddress, bounds(0.2, 50, 2_000, 5_000));
     }
 
     /**
      * Returns settings under which no request may be sent more than once.
      */
     public static InstanceSettings withoutRetryBudget(String instance, StandinStore store) {
-        return of(instance, store, bounds(0, 0, 300, 1_000));
+        return of(instance, store.address(), bounds(0, 0, 300, 1_000));
     }
 
     private static InstanceSettings.Bounds bounds(
@@ -31,7 +38,7 @@
                 3_000, 2_000, 8_000, retryRatio, retrySlack, 10_000, true, 300, windowMillis, lateMillis, 5);
     }
 
-    private static InstanceSettings of(String instance, StandinStore store, InstanceSettings.Bounds bounds) {
+    private static InstanceSettings of(String instance, String storeAddress, InstanceSettings.Bounds bounds) {
         return new InstanceSettings(
                 new InstanceId(instance),
                 new FailureDomain("a"),
@@ -42,8 +49,8 @@
                 0,
                 true,
                 1_000,
-                store.address(),
-                Optional.of(store.address()),
+                storeAddress,
+                Optional.of(storeAddress),
                 bounds);
     }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -49,6 +49,7 @@
     private final TestEventLoop loops = new TestEventLoop();
     private final String id;
     private final List<HttpHeaders> executedRequests = new CopyOnWriteArrayList<>();
+    private final List<String> executedPaths = new CopyOnWriteArrayList<>();
     private final AtomicInteger prefills = new AtomicInteger();
     private final FrontServer server;
     private volatile Mode mode = Mode.GOOD;
@@ -169,6 +170,13 @@
         return executedRequests;
     }
 
+    /**
+     * Returns path and attempt id of the requests it ran, except prefills, separated by a space.
+     */
+    public List<String> executedPaths() {
+        return executedPaths;
+    }
+
     /**
      * Returns how many prefills it accepted.
      */
@@ -232,6 +240,7 @@
             return;
         }
         executedRequests.add(request.headers());
+        executedPaths.add(request.path() + " " + request.headers().get(Headers.ATTEMPT));
         if (crashesOn(request)) {
             response.abort();
             crash();
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -18,10 +18,12 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.adapter.KeyedRecord;
 import org.ragwortpitch.adapter.StoreCodec;
+import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.edge.front.CallerRequest;
 import org.ragwortpitch.edge.front.CallerResponse;
@@ -43,6 +45,7 @@
     private final List<DutyCall> dutyCalls = new CopyOnWriteArrayList<>();
     private final Map<String, Long> memberExpiryMillis = new LinkedHashMap<>();
     private final FrontServer server;
+    private final Closer views = new Closer();
     private volatile boolean down;
     private volatile String downTopic = "";
     private volatile long ignoredBeforeMillis = Long.MIN_VALUE;
@@ -54,10 +57,33 @@
                 loops.loop(),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 () -> CallerLimits.DEFAULT,
-                this::handle,
+                (request, response) -> handle(request, response, UnaryOperator.identity()),
                 TestEventLoop.CLOCK_MILLIS);
     }
 
+    /**
+     * Opens another address of this store, at which endpoints are listed with other ports, so that a daemon reaches
+     * them by paths of its own.
+     *
+     * @param ports for each port of an endpoint, the one that is listed instead
+     */
+    public String addressWithPorts(Map<Integer, Integer> ports) {
+        UnaryOperator<String> replacePorts = entry -> {
+            String replaced = entry;
+            for (Map.Entry<Integer, Integer> port : ports.entrySet()) {
+                replaced = replaced.replace("127.0.0.1:" + port.getKey(), "127.0.0.1:" + port.getValue());
+            }
+            return replaced;
+        };
+        FrontServer view = views.add(new FrontServer(
+                loops.loop(),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> CallerLimits.DEFAULT,
+                (request, response) -> handle(request, response, replacePorts),
+                TestEventLoop.CLOCK_MILLIS));
+        return "127.0.0.1:" + view.address().getPort();
+    }
+
     public String address() {
         return "127.0.0.1:" + server.address().getPort();
     }
@@ -109,7 +135,7 @@
         return topics.computeIfAbsent(name, key -> new ArrayList<>());
     }
 
-    private Cancellation handle(CallerRequest request, CallerResponse response) {
+    private Cancellation handle(CallerRequest request, CallerResponse response, UnaryOperator<String> endpointEntries) {
         QueryStringDecoder query = new QueryStringDecoder(request.target());
         if (down || query.parameters().getOrDefault("Topic", List.of()).contains(downTopic)) {
             response.sendFull(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
@@ -117,11 +143,11 @@
         }
         try {
             switch (query.path()) {
-                case "/log-newest" -> json(response, newest(field(query, "Topic")));
+                case "/log-newest" -> json(response, newest(field(query, "Topic"), endpointEntries));
                 case "/log-append" -> json(response, append(field(query, "Topic"), request.body()));
                 case "/log-join" -> json(response, join(request));
                 case "/log-leave" -> json(response, leave(request));
-                case "/log-read" -> read(query, response, TestEventLoop.CLOCK_MILLIS.getAsLong());
+                case "/log-read" -> read(query, response, endpointEntries, TestEventLoop.CLOCK_MILLIS.getAsLong());
                 default -> {
                     String body = request.body().toString(StandardCharsets.UTF_8);
                     duties.add(request.path() + " " + body);
@@ -139,9 +165,9 @@
         return Cancellation.NONE;
     }
 
-    private Map<String, Object> newest(String topic) throws CodecException {
+    private Map<String, Object> newest(String topic, UnaryOperator<String> endpointEntries) throws CodecException {
         Map<String, Map<String, Object>> items = new LinkedHashMap<>();
-        List<byte[]> records = topic(topic);
+        List<byte[]> records = records(topic, endpointEntries);
         for (int offset = 0; offset < records.size(); offset++) {
             KeyedRecord entry = StoreCodec.decodeKeyed(records.get(offset), offset);
             items.remove(entry.key());
@@ -186,15 +212,41 @@
         return Map.of();
     }
 
-    private void read(QueryStringDecoder query, CallerResponse response, long receivedMillis) {
+    private List<byte[]> records(String topic, UnaryOperator<String> endpointEntries) throws CodecException {
+        if (!StoreCodec.ENDPOINTS_TOPIC.equals(topic)) {
+            return topic(topic);
+        }
+        List<byte[]> records = new ArrayList<>();
+        for (byte[] record : topic(topic)) {
+            KeyedRecord entry = StoreCodec.decodeKeyed(record, 0);
+            String value = new String(entry.value(), StandardCharsets.UTF_8);
+            records.add(StoreCodec.encodeKeyed(
+                    entry.key(), endpointEntries.apply(value).getBytes(StandardCharsets.UTF_8)));
+        }
+        return records;
+    }
+
+    private void read(
+            QueryStringDecoder query,
+            CallerResponse response,
+            UnaryOperator<String> endpointEntries,
+            long receivedMillis)
+            throws CodecException {
         if (receivedMillis < ignoredBeforeMillis) {
             return;
         }
-        List<byte[]> records = topic(field(query, "Topic"));
+        List<byte[]> records = records(field(query, "Topic"), endpointEntries);
         int from = Integer.parseInt(field(query, "From"));
         long waitedMillis = TestEventLoop.CLOCK_MILLIS.getAsLong() - receivedMillis;
         if (from >= records.size() && waitedMillis < Long.parseLong(field(query, "WaitMs"))) {
-            loops.loop().schedule(() -> read(query, response, receivedMillis), POLL_MILLIS, TimeUnit.MILLISECONDS);
+            loops.loop()
+                    .schedule(
+                            () -> {
+                                read(query, response, endpointEntries, receivedMillis);
+                                return null;
+                            },
+                            POLL_MILLIS,
+                            TimeUnit.MILLISECONDS);
             return;
         }
         ByteBuf body = Unpooled.buffer().writeLong(records.size()).writeLong(0);
@@ -221,6 +273,7 @@
 
     @Override
     public void close() {
+        views.close();
         server.close();
         loops.close();
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -41,8 +41,15 @@
      * Starts a daemon and waits until it is ready.
      */
     public Edge start(String instance) throws Exception {
+        return startAt(instance, store.address());
+    }
+
+    /**
+     * Starts a daemon that uses one of the addresses of the store, and waits until it is ready.
+     */
+    public Edge startAt(String instance, String storeAddress) throws Exception {
         Edge edge = closer.add(new Edge(
-                Settings.of(instance, store, 2_000, 5_000), 0, TestEventLoop.CLOCK_MILLIS, System::currentTimeMillis));
+                Settings.at(instance, storeAddress), 0, TestEventLoop.CLOCK_MILLIS, System::currentTimeMillis));
         edge.start();
         URI readiness = URI.create("http://127.0.0.1:" + edge.readyAddress().getPort() + "/readiness");
         await(() -> client.send(HttpRequest.newBuilder(readiness).build(), HttpResponse.BodyHandlers.ofString())
