--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -12,10 +12,13 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.ragwortpitch.adapter.InstanceSettings;
 import org.ragwortpitch.budget.RetryShares;
 import org.ragwortpitch.clock.MedianClock;
 import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.contact.PoolContact;
+import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.draining.DrainWindow;
 import org.ragwortpitch.edge.control.Control;
@@ -24,10 +27,12 @@
 import org.ragwortpitch.edge.directory.SmallAnswer;
 import org.ragwortpitch.edge.directory.SmallServer;
 import org.ragwortpitch.edge.front.FrontServer;
+import org.ragwortpitch.edge.front.RequestHandler;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.edge.http.ConnectionPool;
 import org.ragwortpitch.edge.peer.GossipRound;
 import org.ragwortpitch.edge.peer.GossipSocket;
+import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.edge.traffic.AccountRateLimits;
 import org.ragwortpitch.edge.traffic.EndpointContacts;
@@ -39,6 +44,7 @@
 import org.ragwortpitch.edge.traffic.Gossiper;
 import org.ragwortpitch.edge.traffic.PoisonRequests;
 import org.ragwortpitch.edge.traffic.PoolDemands;
+import org.ragwortpitch.edge.traffic.ProxyPeers;
 import org.ragwortpitch.edge.traffic.RetryBudgets;
 import org.ragwortpitch.edge.traffic.TrafficContext;
 import org.ragwortpitch.identity.AccountId;
@@ -96,10 +102,12 @@
     private final PoisonRequests poison = new PoisonRequests(this::recordPoison);
     private final EndpointTable table;
     private final EndpointContacts contacts;
+    private final ConnectionPool connections;
     private final RetryBudgets retryBudgets;
     private final Gateway gateway;
     private final Control control;
     private final FrontServer front;
+    private final FrontServer proxied;
     private final SmallServer ready;
     private final SmallServer directory;
     private final Gossiper gossiper;
@@ -124,21 +132,17 @@
         controlLoop = newEventLoop();
         usage = new WindowCounts(bounds.usageWindowMillis());
         accounts = new AccountRateLimits(settings.firstStart());
-        contacts = new EndpointContacts(this::endpointTable, clockMillis);
-        ConnectionPool connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis, contacts);
+        contacts = new EndpointContacts(this::endpointTable, this::probe, metrics, clockMillis);
+        connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis, contacts);
         EndpointPermits permits = new EndpointPermits(
                 settings.instance(), () -> peers.daemons(clockMillis.getAsLong()), this::medianMillis);
         table = new EndpointTable(permits, settings.firstStart(), connections::closeIdle);
         retryBudgets = newRetryBudgets();
-        gateway = new Gateway(trafficContext(connections), new BufferingHttpCaller(trafficLoop, connections));
-        front = closer.add(new FrontServer(
-                trafficLoop,
-                ConnectionPool.socketAddress(settings.frontAddress()),
-                gateway::limits,
-                gateway,
-                clockMillis));
-        GossipSocket socket = closer.add(new GossipSocket(
-                trafficLoop, new InetSocketAddress(settings.ip(), settings.peerPort()), this::onGossip));
+        gateway = new Gateway(trafficContext(), new BufferingHttpCaller(trafficLoop, connections));
+        front = frontServer(ConnectionPool.socketAddress(settings.frontAddress()), gateway::limits, gateway);
+        InetSocketAddress peerAddress = new InetSocketAddress(settings.ip(), settings.peerPort());
+        proxied = frontServer(peerAddress, gateway::limitsOfProxied, gateway::handleProxied);
+        GossipSocket socket = closer.add(new GossipSocket(trafficLoop, peerAddress, this::onGossip));
         self = new Daemon(
                 settings.instance(),
                 wallMillis.getAsLong(),
@@ -148,15 +152,29 @@
         gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced);
         storeUpdates = newStoreUpdates();
         ready = listen(settings.readyAddress(), query -> readiness());
-        AddressDirectory addresses =
-                new AddressDirectory(peers, self, this::isReady, () -> bounds.maxTtlSeconds(), clockMillis);
-        directory = listen(settings.directoryAddress(), addresses::answer);
+        directory = listen(settings.directoryAddress(), newAddressDirectory()::answer);
         listen(
                 settings.ip() + ":" + metricsPort,
                 query -> new SmallAnswer(OK, "text/plain; charset=utf-8", metrics.scrape()));
         control = control();
     }
 
+    private FrontServer frontServer(InetSocketAddress address, Supplier<CallerLimits> limits, RequestHandler handler) {
+        return closer.add(new FrontServer(trafficLoop, address, limits, handler, clockMillis));
+    }
+
+    private AddressDirectory newAddressDirectory() {
+        return new AddressDirectory(peers, self, this::status, table::pools, () -> bounds.maxTtlSeconds(), clockMillis);
+    }
+
+    private PeerStatus status() {
+        return new PeerStatus(isReady(), proxied.address().getPort(), contacts.lostPools());
+    }
+
+    private void probe(String address) {
+        connections.probe(address, (int) PoolContact.CONNECT_MILLIS);
+    }
+
     private void stepTraffic() {
         contacts.check();
         gossiper.sendRound();
@@ -180,7 +198,7 @@
                 poison,
                 origins,
                 usage,
-                this::isReady,
+                this::status,
                 median,
                 clockMillis,
                 wallMillis);
@@ -199,7 +217,8 @@
                 trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
     }
 
-    private TrafficContext trafficContext(ConnectionPool connections) {
+    private TrafficContext trafficContext() {
+        ConnectionPool peerConnections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
         return new TrafficContext(
                 trafficLoop,
                 clockMillis,
@@ -207,6 +226,8 @@
                 settings.domain(),
                 connections,
                 table,
+                contacts,
+                new ProxyPeers(peers, peerConnections, clockMillis),
                 accounts,
                 retryBudgets,
                 usage,
@@ -300,16 +321,22 @@
         long endMillis = stopMillis + (long) (graceMillis * EXIT_FRACTION);
         trafficLoop.execute(() -> {
             front.drain();
+            proxied.drain();
             gateway.drain(new DrainWindow(stopMillis, endMillis));
         });
         controlLoop.execute(() -> control.leave(() -> {}));
         TimeUnit.MILLISECONDS.sleep((long) (graceMillis * CLOSE_IDLE_FRACTION));
         trafficLoop.execute(() -> recordUsage(usage.drainAll()));
         do {
-            trafficLoop.execute(front::closeIdle);
+            trafficLoop.execute(() -> {
+                front.closeIdle();
+                proxied.closeIdle();
+            });
             TimeUnit.MILLISECONDS.sleep(100);
-        } while (clockMillis.getAsLong() < endMillis && front.connections() > 0);
-        Event.of("stopped").with("connections", front.connections()).info(LOGGER);
+        } while (clockMillis.getAsLong() < endMillis && front.connections() + proxied.connections() > 0);
+        Event.of("stopped")
+                .with("connections", front.connections() + proxied.connections())
+                .info(LOGGER);
     }
 
     @Override
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/AddressDirectory.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/AddressDirectory.java
@@ -3,23 +3,32 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BooleanSupplier;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.ragwortpitch.adapter.DirectoryCodec;
 import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.identity.PoolId;
 
 /**
  * Tells callers the addresses of daemons that take requests, those of their own failure domain if there are enough.
  *
- * @param ready         whether this daemon takes requests
+ * @param status        what this daemon tells the others about its service to callers
+ * @param poolsInUse    the pools that have endpoints
  * @param maxTtlSeconds the longest time for which callers may cache an answer
  * @param clockMillis   the monotonic clock, in milliseconds
  */
 public record AddressDirectory(
-        PeerView peers, Daemon self, BooleanSupplier ready, DoubleSupplier maxTtlSeconds, LongSupplier clockMillis) {
+        PeerView peers,
+        Daemon self,
+        Supplier<PeerStatus> status,
+        Supplier<Set<PoolId>> poolsInUse,
+        DoubleSupplier maxTtlSeconds,
+        LongSupplier clockMillis) {
 
     /** Most addresses in a directory answer; a caller has no use for more. */
     private static final int MAX_ADDRESSES = 64;
@@ -35,16 +44,31 @@
 
     private static final int UNAVAILABLE = 503;
 
+    /**
+     * Returns the daemons that take requests without those that reach no endpoint, unless none does.
+     */
+    private List<Daemon> takingRequests(FailureDomain preferred) {
+        Set<PoolId> pools = poolsInUse.get();
+        List<Daemon> ready = new ArrayList<>(peers.ready(preferred, clockMillis.getAsLong()));
+        List<Daemon> inContact = new ArrayList<>(ready);
+        inContact.removeIf(daemon -> peers.status(daemon).isCutOff(pools));
+        PeerStatus own = status.get();
+        if (own.ready()) {
+            ready.add(self);
+        }
+        if (own.ready() && !own.isCutOff(pools)) {
+            inContact.add(self);
+        }
+        return inContact.isEmpty() ? ready : inContact;
+    }
+
     /**
      * Answers a look-up.
      */
     public SmallAnswer answer(QueryStringDecoder query) {
         List<String> domains = query.parameters().getOrDefault(DirectoryCodec.DOMAIN_FIELD, List.of(""));
         FailureDomain domain = new FailureDomain(domains.get(0));
-        List<Daemon> takingRequests = new ArrayList<>(peers.ready(domain, clockMillis.getAsLong()));
-        if (ready.getAsBoolean()) {
-            takingRequests.add(self);
-        }
+        List<Daemon> takingRequests = takingRequests(domain);
         List<Daemon> sameDomain = takingRequests.stream()
                 .filter(daemon -> daemon.domain().equals(domain))
                 .toList();
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -86,11 +87,33 @@
      * @param maxIdleMillis how long a reused connection may have been idle, in milliseconds
      * @return cancels the request and closes its connection
      */
-    public Cancellation send(String address, OutboundRequest request, long maxIdleMillis, ResponseListener listener) {
+    public OutboundSend send(String address, OutboundRequest request, long maxIdleMillis, ResponseListener listener) {
         OutboundConnection connection = takeIdle(address, maxIdleMillis);
         return connection != null ? connection.send(request, listener) : connectAndSend(address, request, listener);
     }
 
+    /**
+     * Opens a connection to an address and closes it again, for the observer.
+     *
+     * @param connectMillis the connect timeout, in milliseconds
+     */
+    public void probe(String address, int connectMillis) {
+        opened++;
+        ChannelFuture connecting = bootstrap
+                .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(socketAddress(address));
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                observer.onHeard(address);
+            } else {
+                observer.onConnectFailed(address);
+            }
+            connecting.channel().close();
+        });
+    }
+
     /**
      * Returns how many connections the pool has started to open since its creation, including failed ones.
      */
@@ -149,7 +172,7 @@
         return null;
     }
 
-    private Cancellation connectAndSend(String address, OutboundRequest request, ResponseListener listener) {
+    private OutboundSend connectAndSend(String address, OutboundRequest request, ResponseListener listener) {
         opened++;
         OutboundConnection connection = new OutboundConnection(this, address);
         PendingSend pending = new PendingSend();
@@ -203,15 +226,22 @@
     /**
      * A request whose connection is still being opened.
      */
-    private static final class PendingSend implements Cancellation {
+    private static final class PendingSend implements OutboundSend {
 
         private boolean cancelled;
-        private Cancellation sent = Cancellation.NONE;
+        private Cancellation sent;
+
+        @Override
+        public boolean hasBegun() {
+            return sent != null;
+        }
 
         @Override
         public void cancel() {
             cancelled = true;
-            sent.cancel();
+            if (sent != null) {
+                sent.cancel();
+            }
         }
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -64,7 +64,7 @@
         channel = open;
     }
 
-    Cancellation send(OutboundRequest request, ResponseListener responses) {
+    OutboundSend send(OutboundRequest request, ResponseListener responses) {
         listener = responses;
         attemptId = request.attemptId();
         written = false;
@@ -76,10 +76,19 @@
                 fail("write failed: " + done.cause());
             }
         });
-        return () -> {
-            if (listener == responses) {
-                listener = null;
-                channel.close();
+        return new OutboundSend() {
+
+            @Override
+            public boolean hasBegun() {
+                return true;
+            }
+
+            @Override
+            public void cancel() {
+                if (listener == responses) {
+                    listener = null;
+                    channel.close();
+                }
             }
         };
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -8,11 +8,14 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.ragwortpitch.contact.ProxyPeer;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.identity.PoolId;
 
 /**
  * The other daemons: which are listed, which are direct gossip peers, and when the last gossip about each was received.
@@ -107,21 +110,21 @@
      *
      * @return whether it is the newest gossip of the daemon's current incarnation; false if it must be ignored
      */
-    public boolean recordGossip(InstanceId peer, long startMillis, long sequence, boolean ready, long nowMillis) {
+    public boolean recordGossip(InstanceId peer, long startMillis, long sequence, PeerStatus status, long nowMillis) {
         LastSeen before = lastSeen.get(peer);
         if (before != null && isOutdated(startMillis, sequence, nowMillis, before)) {
             return false;
         }
-        lastSeen.put(peer, new LastSeen(startMillis, sequence, ready, nowMillis));
+        lastSeen.put(peer, new LastSeen(startMillis, sequence, status, nowMillis));
         return true;
     }
 
     /**
      * Records that a daemon of another failure domain is reachable there; ignored for direct peers.
      */
-    public void recordRelayedState(InstanceId peer, boolean ready, long nowMillis) {
+    public void recordRelayedState(InstanceId peer, PeerStatus status, long nowMillis) {
         if (!isDirect(peer)) {
-            lastSeen.put(peer, new LastSeen(0, 0, ready, nowMillis));
+            lastSeen.put(peer, new LastSeen(0, 0, status, nowMillis));
         }
     }
 
@@ -156,13 +159,13 @@
     }
 
     /**
-     * Returns the reachable direct peers, and whether they take callers.
+     * Returns the reachable direct peers with what they tell of themselves.
      */
-    public Map<InstanceId, Boolean> reachableDirect(long nowMillis) {
+    public Map<InstanceId, PeerStatus> reachableDirect(long nowMillis) {
         return directIds.stream()
                 .filter(peer -> isReachable(peer, nowMillis))
                 .collect(Collectors.toMap(
-                        peer -> peer, peer -> lastSeen.get(peer).ready()));
+                        peer -> peer, peer -> lastSeen.get(peer).status()));
     }
 
     /**
@@ -253,16 +256,56 @@
      * Returns the daemons that take callers, those of a preferred failure domain first.
      */
     public List<Daemon> ready(FailureDomain preferred, long nowMillis) {
-        Stream<Daemon> ready = listed.values().stream()
-                .filter(daemon -> isReachable(daemon.id(), nowMillis)
-                        && lastSeen.get(daemon.id()).ready());
+        Stream<Daemon> ready =
+                reachable(nowMillis).filter(daemon -> status(daemon).ready());
         return ready.sorted((one, other) -> Boolean.compare(
                         other.domain().equals(preferred), one.domain().equals(preferred)))
                 .toList();
     }
 
+    private Stream<Daemon> reachable(long nowMillis) {
+        return listed.values().stream().filter(daemon -> isReachable(daemon.id(), nowMillis));
+    }
+
+    /**
+     * Returns what a reachable daemon last told of itself.
+     */
+    public PeerStatus status(Daemon daemon) {
+        return lastSeen.get(daemon.id()).status();
+    }
+
+    /**
+     * Returns the daemons that take requests which this one can't serve, and reach endpoints of their pool.
+     *
+     * @param passed returns how many requests of this daemon a daemon is handling
+     */
+    public List<ProxyPeer> proxies(PoolId pool, ToIntFunction<InstanceId> passed, long nowMillis) {
+        return reachable(nowMillis)
+                .filter(daemon -> status(daemon).proxies(pool))
+                .map(daemon -> new ProxyPeer(
+                        daemon.id(),
+                        host(daemon.peerAddress()) + ":" + status(daemon).proxyPort(),
+                        daemon.domain().equals(domain),
+                        passed.applyAsInt(daemon.id())))
+                .toList();
+    }
+
+    /**
+     * Returns whether any other daemon that takes callers reaches endpoints of some pool.
+     *
+     * @param pools the pools that have endpoints
+     */
+    public boolean anyInContact(Set<PoolId> pools, long nowMillis) {
+        return reachable(nowMillis)
+                .anyMatch(daemon -> status(daemon).ready() && !status(daemon).isCutOff(pools));
+    }
+
+    private static String host(String address) {
+        return address.substring(0, address.lastIndexOf(':'));
+    }
+
     /**
      * State and time of the last gossip about a daemon.
      */
-    private record LastSeen(long startMillis, long sequence, boolean ready, long atMillis) {}
+    private record LastSeen(long startMillis, long sequence, PeerStatus status, long atMillis) {}
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
@@ -1,103 +1,155 @@
 package org.ragwortpitch.edge.traffic;
 
 import java.lang.System.Logger;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.ragwortpitch.contact.PoolContact;
+import org.ragwortpitch.contact.PoolContact.Change;
+import org.ragwortpitch.edge.directory.EdgeMetrics;
+import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.ConnectionObserver;
+import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
 
 /**
- * Logs when this daemon hears nothing from any endpoint of a pool although it waits for one. Confined to the traffic
- * thread.
+ * Whether this daemon reaches the endpoints of each pool, from what its connections to them show. Confined to the
+ * traffic thread.
  */
 public final class EndpointContacts implements ConnectionObserver {
 
     private static final Logger LOGGER = System.getLogger(EndpointContacts.class.getName());
 
-    /** Silence of a whole pool that is logged, in milliseconds: several times the gap between events of a stream. */
-    private static final long SILENT_MILLIS = 300;
-
     private final Supplier<EndpointTable> endpoints;
+    private final Consumer<String> probe;
+    private final EdgeMetrics metrics;
     private final LongSupplier clockMillis;
-    private final Map<PoolId, Silence> silences = new HashMap<>();
+    private final Map<PoolId, PoolContact> contacts = new HashMap<>();
+    private final Map<PoolId, Long> lostMillis = new HashMap<>();
+    private final Map<PoolId, Set<Runnable>> lossListeners = new HashMap<>();
 
     /**
      * Creates contacts for the endpoints in a table.
      *
+     * @param probe       opens a connection to an address and closes it again; this observer learns the outcome
      * @param clockMillis the monotonic clock, in milliseconds
      */
-    public EndpointContacts(Supplier<EndpointTable> endpoints, LongSupplier clockMillis) {
+    public EndpointContacts(
+            Supplier<EndpointTable> endpoints, Consumer<String> probe, EdgeMetrics metrics, LongSupplier clockMillis) {
         this.endpoints = endpoints;
+        this.probe = probe;
+        this.metrics = metrics;
         this.clockMillis = clockMillis;
     }
 
     @Override
     public void onHeard(String address) {
-        long nowMillis = clockMillis.getAsLong();
-        endpoints
-                .get()
-                .poolAt(address)
-                .map(silences::remove)
-                .filter(Silence::logged)
-                .ifPresent(silence -> Event.of("pool-heard")
-                        .with("endpoint", address)
-                        .with("silent-millis", nowMillis - silence.sinceMillis())
-                        .with("connects-failed", silence.failedConnects())
-                        .info(LOGGER));
+        endpoints.get().at(address).ifPresent(state -> {
+            PoolId pool = state.endpoint().pool();
+            if (contact(pool).heard(now())) {
+                onRegained(pool);
+            }
+        });
     }
 
     @Override
     public void onConnectFailed(String address) {
-        long nowMillis = clockMillis.getAsLong();
-        endpoints
-                .get()
-                .poolAt(address)
-                .ifPresent(pool -> silences.put(
-                        pool,
-                        silences.getOrDefault(pool, Silence.since(nowMillis)).withFailedConnect()));
+        endpoints.get().at(address).ifPresent(state -> contact(state.endpoint().pool())
+                .connectFailed(state.endpoint().id(), now()));
     }
 
     /**
-     * Checks the silence of each pool. Called periodically.
+     * Returns whether this daemon reaches no endpoint of a pool.
      */
-    public void check() {
-        long nowMillis = clockMillis.getAsLong();
-        for (PoolId pool : endpoints.get().pools()) {
-            int running = endpoints.get().running(pool);
-            if (running > 0) {
-                silences.putIfAbsent(pool, Silence.since(nowMillis));
-            }
-            Silence silence = silences.get(pool);
-            if (silence != null && !silence.logged() && nowMillis - silence.sinceMillis() >= SILENT_MILLIS) {
-                silences.put(pool, silence.asLogged());
-                Event.of("pool-silent")
-                        .with("pool", pool)
-                        .with("silent-millis", nowMillis - silence.sinceMillis())
-                        .with("running", running)
-                        .with("connects-failed", silence.failedConnects())
-                        .warn(LOGGER);
-            }
-        }
+    boolean isLost(PoolId pool) {
+        return lostMillis.containsKey(pool);
     }
 
     /**
-     * The time in which nothing was heard from a pool.
+     * Returns the pools of which this daemon reaches no endpoint.
      */
-    private record Silence(long sinceMillis, int failedConnects, boolean logged) {
+    public Set<PoolId> lostPools() {
+        return Set.copyOf(lostMillis.keySet());
+    }
 
-        static Silence since(long nowMillis) {
-            return new Silence(nowMillis, 0, false);
-        }
+    /**
+     * Calls a listener each time contact with a pool is lost.
+     *
+     * @return removes the listener
+     */
+    Cancellation onLoss(PoolId pool, Runnable listener) {
+        Set<Runnable> listeners = lossListeners.computeIfAbsent(pool, key -> new LinkedHashSet<>());
+        listeners.add(listener);
+        return () -> listeners.remove(listener);
+    }
 
-        Silence withFailedConnect() {
-            return new Silence(sinceMillis, failedConnects + 1, logged);
-        }
+    /**
+     * Advances the contact with each pool to the present time. Called periodically.
+     */
+    public void check() {
+        Set<PoolId> pools = new HashSet<>(contacts.keySet());
+        pools.addAll(endpoints.get().pools());
+        pools.forEach(this::check);
+    }
 
-        Silence asLogged() {
-            return new Silence(sinceMillis, failedConnects, true);
+    private void check(PoolId pool) {
+        long now = now();
+        boolean waiting = endpoints.get().running(pool) > 0;
+        if (!contact(pool).isDue(waiting, now)) {
+            return;
         }
+        List<EndpointState> staying = endpoints.get().notLeaving(pool, Set.of()).stream()
+                .sorted(Comparator.comparing(state -> !state.health().isUsable(now)))
+                .toList();
+        Map<EndpointId, String> addresses = staying.stream()
+                .collect(Collectors.toMap(state -> state.endpoint().id(), state -> state.endpoint()
+                        .address()));
+        List<EndpointId> ids =
+                staying.stream().map(state -> state.endpoint().id()).toList();
+        PoolContact.Step step = contact(pool).advance(ids, waiting, now);
+        if (step.change() == Change.LOST) {
+            onLost(pool, ids.size());
+        } else if (step.change() == Change.REGAINED) {
+            onRegained(pool);
+        }
+        step.probes().forEach(endpoint -> probe.accept(addresses.get(endpoint)));
+    }
+
+    private void onLost(PoolId pool, int listed) {
+        long now = now();
+        lostMillis.put(pool, now);
+        Event.of("contact-lost")
+                .with("pool", pool)
+                .with("endpoints", listed)
+                .with("running", endpoints.get().running(pool))
+                .warn(LOGGER);
+        metrics.recordDependencyLoss("endpoints");
+        endpoints.get().pools().forEach(other -> contact(other).suspect(now));
+        List.copyOf(lossListeners.getOrDefault(pool, Set.of())).forEach(Runnable::run);
+    }
+
+    private void onRegained(PoolId pool) {
+        Event.of("contact-regained")
+                .with("pool", pool)
+                .with("lost-millis", now() - lostMillis.remove(pool))
+                .info(LOGGER);
+        endpoints.get().forgetFailures(pool);
+    }
+
+    private PoolContact contact(PoolId pool) {
+        return contacts.computeIfAbsent(pool, key -> new PoolContact());
+    }
+
+    private long now() {
+        return clockMillis.getAsLong();
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -34,7 +34,7 @@
     private final boolean firstStart;
     private final Map<PoolId, ListedVersions> versions = new HashMap<>();
     private Map<EndpointId, EndpointState> states = new HashMap<>();
-    private Map<String, PoolId> poolsByAddress = Map.of();
+    private Map<String, EndpointState> statesByAddress = Map.of();
 
     /**
      * Creates a table without endpoints.
@@ -78,11 +78,8 @@
             }
         });
         states = next;
-        poolsByAddress = next.values().stream()
-                .collect(Collectors.toMap(
-                        state -> state.endpoint().address(),
-                        state -> state.endpoint().pool(),
-                        (one, other) -> other));
+        statesByAddress = next.values().stream()
+                .collect(Collectors.toMap(state -> state.endpoint().address(), state -> state, (one, other) -> other));
     }
 
     /**
@@ -172,17 +169,26 @@
     }
 
     /**
-     * Returns the pool that the endpoint at an address serves; empty if none is listed there.
+     * Returns the endpoint that is listed at an address; empty if there is none.
      */
-    Optional<PoolId> poolAt(String address) {
-        return Optional.ofNullable(poolsByAddress.get(address));
+    Optional<EndpointState> at(String address) {
+        return Optional.ofNullable(statesByAddress.get(address));
     }
 
     /**
      * Returns the pools that have endpoints, leaving ones included.
      */
-    Set<PoolId> pools() {
-        return Set.copyOf(poolsByAddress.values());
+    public Set<PoolId> pools() {
+        return states.values().stream().map(state -> state.endpoint().pool()).collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * Forgets why endpoints of a pool were ejected, as the path to them was at fault.
+     */
+    void forgetFailures(PoolId pool) {
+        states.values().stream()
+                .filter(state -> state.endpoint().pool().equals(pool))
+                .forEach(state -> state.health().forget());
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -18,6 +18,7 @@
 import org.ragwortpitch.edge.front.CallerRequest;
 import org.ragwortpitch.edge.front.CallerResponse;
 import org.ragwortpitch.edge.http.OutboundRequest;
+import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.poison.CrashCause;
 
@@ -49,12 +50,9 @@
     private final long deadlineMillis;
     private final long callerDeadlineMillis;
     private final boolean limitedByRouteTimeout;
-    private String sentEndpoints = "";
-    private long firstEventMillis;
-    private long lastChunkMillis;
-    private long longestGapMillis;
+    private final AnswerLog answerLog = new AnswerLog();
     private final RequestSends sends;
-    private int sendCount;
+    private final Optional<ProxyHop> hop;
     private final List<PrefixBlock> prefixBlocks;
     private List<CrashCause> crashCauses;
     private boolean executionRecorded;
@@ -72,7 +70,8 @@
             long tokens,
             long callerMillis,
             List<PrefixBlock> prefixBlocks,
-            RequestSends sends) {
+            RequestSends sends,
+            Optional<ProxyHop> hop) {
         this.context = context;
         this.request = request;
         this.response = response;
@@ -82,6 +81,7 @@
         this.tokens = tokens;
         this.prefixBlocks = prefixBlocks;
         this.sends = sends;
+        this.hop = hop;
         this.limitedByRouteTimeout = callerMillis - ANSWER_MARGIN_MILLIS > route.timeoutMillis();
         this.callerDeadlineMillis = request.arrivedMillis() + callerMillis;
         this.deadlineMillis =
@@ -112,6 +112,13 @@
         return done;
     }
 
+    /**
+     * Returns what the daemon that passed the request on tells; empty if its caller sent it here.
+     */
+    Optional<ProxyHop> hop() {
+        return hop;
+    }
+
     boolean isStreamBegun() {
         return streamBegun;
     }
@@ -142,11 +149,8 @@
         headers.set(Headers.TARGET, target.endpoint().id().value());
         headers.set(Headers.DEADLINE, Math.max(1, remainingMillis(nowMillis)));
         account.ifPresent(known -> headers.set(Headers.ACCOUNT, known.id().value()));
-        sendCount++;
         sends.recordSend();
-        sentEndpoints = sentEndpoints
-                + (sentEndpoints.isEmpty() ? "" : ",")
-                + target.endpoint().id();
+        answerLog.recordSend(target.endpoint().id());
         return new OutboundRequest(request.method(), request.target(), headers, request.body(), attemptId);
     }
 
@@ -174,8 +178,8 @@
     void recordExecution() {
         if (!executionRecorded) {
             executionRecorded = true;
-            account.ifPresent(known ->
-                    context.usage().increment(known.id(), context.wallMillis().getAsLong()));
+            account.filter(known -> !hop.map(ProxyHop::charged).orElse(false)).ifPresent(known -> context.usage()
+                    .increment(known.id(), context.wallMillis().getAsLong()));
         }
     }
 
@@ -251,7 +255,7 @@
      */
     void beginStream(int status, HttpHeaders headers) {
         streamBegun = true;
-        firstEventMillis = context.clockMillis().getAsLong() - request.arrivedMillis();
+        answerLog.recordFirstEvent(context.clockMillis().getAsLong() - request.arrivedMillis());
         HttpHeaders forwarded = ForwardHeaders.ofResponse(headers);
         response.beginStream(status, forwarded);
     }
@@ -260,9 +264,7 @@
      * Forwards bytes of a stream.
      */
     void forwardChunk(byte[] bytes) {
-        long now = context.clockMillis().getAsLong();
-        longestGapMillis = Math.max(longestGapMillis, lastChunkMillis == 0 ? 0 : now - lastChunkMillis);
-        lastChunkMillis = now;
+        answerLog.recordChunk(context.clockMillis().getAsLong());
         response.sendChunk(Unpooled.wrappedBuffer(bytes));
     }
 
@@ -276,6 +278,31 @@
         }
     }
 
+    /**
+     * Forwards a complete response of another daemon and ends the exchange.
+     */
+    void forwardProxiedResponse(int status, HttpHeaders headers, ByteBuf body) {
+        if (finish("proxied", status, "")) {
+            response.sendFull(status, ForwardHeaders.ofResponse(headers), body);
+        }
+    }
+
+    /**
+     * Ends a stream of another daemon that was forwarded completely.
+     */
+    void endProxiedStream() {
+        if (finish("proxied", HttpResponseStatus.OK.code(), "")) {
+            response.endStream();
+        }
+    }
+
+    /**
+     * Adds a daemon that the request is passed on to, for the log.
+     */
+    void recordProxiedBy(InstanceId daemon) {
+        answerLog.recordProxiedBy(daemon);
+    }
+
     private void recordSuccess() {
         context.poisonRequests()
                 .recordCompletion(crashCauses(), context.clockMillis().getAsLong());
@@ -353,13 +380,8 @@
                 .with("outcome", outcome)
                 .with("status", status)
                 .with("route", route.id())
-                .with("millis", tookMillis)
-                .with("first-millis", firstEventMillis)
-                .with("longest-gap-millis", longestGapMillis)
-                .with("target", route.targetMillis() + "+" + route.targetGapMillis())
-                .with("sends", sendCount)
-                .with("repeats", sends.repeats())
-                .with("endpoints", sentEndpoints.isEmpty() ? "-" : sentEndpoints);
+                .with("millis", tookMillis);
+        answerLog.describe(event, route, sends.repeats());
         (reason.isEmpty() ? event : event.with("reason", reason)).info(LOGGER);
         context.metrics().recordAnswer(route, outcome, tookMillis);
         context.metrics().recordRepeats(route, sends.repeats());
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ForwardHeaders.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ForwardHeaders.java
@@ -38,6 +38,13 @@
         return copy(sent, dropped);
     }
 
+    /**
+     * Copies the headers of a request that go on to another daemon, which does the rest.
+     */
+    static HttpHeaders ofProxiedRequest(HttpHeaders sent) {
+        return copy(sent, hopByHopNames(sent));
+    }
+
     /**
      * Copies the headers of a response that go on to the caller.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -11,6 +11,7 @@
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.EngineCodec;
 import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.contact.ServingPlan;
 import org.ragwortpitch.deployment.AccountSpec;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.deployment.Deployment;
@@ -23,6 +24,7 @@
 import org.ragwortpitch.edge.front.RequestHandler;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.placement.EngineChooser;
 
@@ -44,6 +46,9 @@
 
     private static final int UNAVAILABLE = 503;
 
+    /** Room for the headers that a daemon adds to a request which it passes on. */
+    private static final int PROXY_HEADER_BYTES = 1_024;
+
     private static final String BEARER_PREFIX = "bearer ";
 
     /** Retry-After while no configuration is loaded, in milliseconds; a daemon loads it in about 0.3 s. */
@@ -91,6 +96,18 @@
         return deployment == null ? CallerLimits.DEFAULT : deployment.limits();
     }
 
+    /**
+     * Returns the limits on requests that other daemons pass on, which have a header more.
+     */
+    public CallerLimits limitsOfProxied() {
+        CallerLimits now = limits();
+        return new CallerLimits(
+                now.maxHeaderBytes() + PROXY_HEADER_BYTES,
+                now.maxBodyBytes(),
+                now.headerTimeoutMillis(),
+                now.idleTimeoutMillis());
+    }
+
     /**
      * Admits from now on only requests that end before the process does.
      */
@@ -100,6 +117,26 @@
 
     @Override
     public Cancellation handle(CallerRequest request, CallerResponse response) {
+        return handle(request, response, Optional.empty());
+    }
+
+    /**
+     * Handles a request that another daemon can't serve; declines it if this one can't either.
+     */
+    public Cancellation handleProxied(CallerRequest request, CallerResponse response) {
+        Optional<ProxyHop> hop = ProxyHop.decode(request.headers().get(ProxyHop.HEADER));
+        request.headers().remove(ProxyHop.HEADER);
+        String attemptId = request.headers().get(Headers.ATTEMPT);
+        if (hop.isEmpty()) {
+            return refuse(attemptId, response, BAD_REQUEST, 0, "the header " + ProxyHop.HEADER + " can't be read");
+        }
+        if (deployment == null || deployment.version() < hop.get().configuration()) {
+            return decline(attemptId, response, "the configuration here is older than the sender's");
+        }
+        return handle(request, response, hop);
+    }
+
+    private Cancellation handle(CallerRequest request, CallerResponse response, Optional<ProxyHop> hop) {
         String attemptId = request.headers().get(Headers.ATTEMPT);
         if (deployment == null) {
             return refuse(
@@ -133,7 +170,7 @@
         try {
             Optional<Generation> generation = EngineCodec.generation(
                     request.headers().get(Headers.TOKENS), request.headers().get(Headers.PREFIX_BLOCKS));
-            return admit(request, response, route.get(), account, generation);
+            return admit(request, response, route.get(), account, generation, hop);
         } catch (CodecException exception) {
             return refuse(attemptId, response, BAD_REQUEST, 0, exception.getMessage());
         }
@@ -144,23 +181,31 @@
             CallerResponse response,
             Route route,
             Optional<AccountSpec> account,
-            Optional<Generation> generation) {
+            Optional<Generation> generation,
+            Optional<ProxyHop> hop) {
         String attemptId = request.headers().get(Headers.ATTEMPT);
         long now = context.clockMillis().getAsLong();
-        long tokens = generation
-                .map(Generation::quotaTokens)
-                .orElse(account.map(AccountSpec::defaultRequestTokens).orElse(0L));
         long limitMillis = Math.min(callerMillis(request, route), route.timeoutMillis());
         if (drainWindow != null && !drainWindow.accepts(limitMillis, now)) {
-            return refuse(attemptId, response, UNAVAILABLE, DRAIN_RETRY_MILLIS, "daemon is stopping: use another one");
+            return refuseStopping(attemptId, response, hop.isPresent());
+        }
+        PoolId pool = route.choosePool(attemptId.hashCode());
+        ServingPlan plan = ServingPlan.of(
+                context.contacts().isLost(pool),
+                hop.isPresent(),
+                context.proxies().isAvailable(pool));
+        if (plan == ServingPlan.NOBODY) {
+            return refuseOutOfReach(attemptId, response, pool, hop.isPresent());
         }
-        if (account.isPresent()) {
-            AccountSpec spec = account.get();
-            long waitMillis = accounts.spend(spec.id(), tokens, now);
-            if (waitMillis > 0) {
-                return refuse(
-                        attemptId, response, TOO_MANY, waitMillis, "account " + spec.id() + " exceeded its token rate");
-            }
+        boolean charged =
+                plan == ServingPlan.BY_PEER || hop.map(ProxyHop::charged).orElse(false);
+        long tokens = charged ? 0 : quotaTokens(account, generation);
+        long waitMillis = charged
+                ? 0
+                : account.map(spec -> accounts.spend(spec.id(), tokens, now)).orElse(0L);
+        if (waitMillis > 0) {
+            String reason = "account " + account.get().id() + " exceeded its token rate";
+            return refuse(attemptId, response, TOO_MANY, waitMillis, reason);
         }
         Exchange exchange = new Exchange(
                 context,
@@ -172,8 +217,20 @@
                 tokens,
                 callerMillis(request, route),
                 generation.map(Generation::sharedParts).orElse(List.of()),
-                new RequestSends(context.retryBudgets(), route.choosePool(attemptId.hashCode())));
-        return start(exchange, generation, now);
+                new RequestSends(context.retryBudgets(), pool),
+                hop);
+        return plan == ServingPlan.HERE ? start(exchange, generation, now) : passOn(exchange, pool);
+    }
+
+    private static long quotaTokens(Optional<AccountSpec> account, Optional<Generation> generation) {
+        return generation
+                .map(Generation::quotaTokens)
+                .orElse(account.map(AccountSpec::defaultRequestTokens).orElse(0L));
+    }
+
+    private Cancellation passOn(Exchange exchange, PoolId pool) {
+        ProxyHop hop = new ProxyHop(deployment.version(), 0, false, Optional.empty());
+        return ProxiedRun.startAtArrival(context, exchange, pool, hop);
     }
 
     private Cancellation start(Exchange exchange, Optional<Generation> generation, long now) {
@@ -190,17 +247,55 @@
             exchange.refuse(UNAVAILABLE, 0, poisonReason.get());
             return Cancellation.NONE;
         }
-        context.retryBudgets().recordRequest(pool.id(), now);
+        if (!exchange.hop().map(ProxyHop::counted).orElse(false)) {
+            context.retryBudgets().recordRequest(pool.id(), now);
+        }
+        ProxyFallback fallback = new ProxyFallback(context, exchange, pool.id(), deployment.version());
         if (pool.engine().isPresent() && generation.isPresent()) {
-            GenerationRun run = new GenerationRun(context, chooser, caller, exchange, pool.id(), generation.get());
+            GenerationRun run =
+                    new GenerationRun(context, chooser, caller, exchange, pool.id(), generation.get(), fallback);
             run.start();
             return run;
         }
-        ServiceRun run = new ServiceRun(context, exchange, pool.id());
+        ServiceRun run = new ServiceRun(context, exchange, pool.id(), fallback);
         run.start();
         return run;
     }
 
+    private Cancellation refuseStopping(String attemptId, CallerResponse response, boolean passedOn) {
+        return passedOn
+                ? decline(attemptId, response, "daemon is stopping")
+                : refuse(attemptId, response, UNAVAILABLE, DRAIN_RETRY_MILLIS, "daemon is stopping: use another one");
+    }
+
+    private Cancellation refuseOutOfReach(String attemptId, CallerResponse response, PoolId pool, boolean passedOn) {
+        if (passedOn) {
+            return decline(attemptId, response, "this daemon reaches no endpoint of pool " + pool + " either");
+        }
+        return refuse(
+                attemptId,
+                response,
+                UNAVAILABLE,
+                ProxiedRun.RETRY_AFTER_MILLIS,
+                "no daemon in reach has contact with an endpoint of pool " + pool + ": retry later");
+    }
+
+    /**
+     * Declines a request of another daemon, which may pass it to a third one.
+     */
+    private Cancellation decline(String attemptId, CallerResponse response, String reason) {
+        Event.of("declined")
+                .with("request", attemptId)
+                .with("version", deployment == null ? "-" : deployment.version())
+                .with("reason", reason)
+                .info(LOGGER);
+        response.sendFull(
+                UNAVAILABLE,
+                new DefaultHttpHeaders().set(ProxyHop.DECLINED, 1),
+                Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8));
+        return Cancellation.NONE;
+    }
+
     private Cancellation refuse(
             String attemptId, CallerResponse response, int status, long retryAfterMillis, String reason) {
         HttpHeaders headers = new DefaultHttpHeaders();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -46,6 +46,7 @@
     private final Exchange exchange;
     private final PoolId pool;
     private final Generation generation;
+    private final ProxyFallback fallback;
     private final GenerationLog log;
     private final TransferredKvCache kvCache;
     private final GenerationChecks checks;
@@ -65,12 +66,15 @@
             BufferingHttpCaller caller,
             Exchange exchange,
             PoolId pool,
-            Generation generation) {
+            Generation generation,
+            ProxyFallback fallback) {
         this.context = context;
         this.engines = new EngineSelector(context.endpoints(), chooser, pool, generation);
         this.exchange = exchange;
         this.pool = pool;
         this.generation = generation;
+        this.fallback = fallback;
+        this.executions = fallback.earlierExecutions();
         this.lastEventId = StreamEvent.parseId(exchange.request().headers().get(Headers.LAST_EVENT));
         this.resumption = new StreamResumption(context, exchange, pool, lastEventId);
         this.log = new GenerationLog(
@@ -85,8 +89,10 @@
         long now = now();
         ScheduledFuture<?> deadline = context.loop()
                 .schedule(this::onDeadline, Math.max(1, exchange.remainingMillis(now)), TimeUnit.MILLISECONDS);
+        Cancellation lossListener = context.contacts().onLoss(pool, this::onStall);
         exchange.whenDone(() -> {
             deadline.cancel(false);
+            lossListener.cancel();
             stallDetector.stop();
             current.cancel();
             kvCache.free();
@@ -177,7 +183,7 @@
             return;
         }
         if (!failure.sent()) {
-            exchange.sends().recordNotSent();
+            fallback.recordFailedConnect();
         }
         tried.add(placement.prefillEngine().orElseThrow().endpoint().id());
         sends++;
@@ -294,7 +300,7 @@
             countExecution(run);
             exchange.recordCrash(run.target(), run.hasEvents(), run.isConnectionLost() && run.hasJustBegun(now()));
         } else {
-            exchange.sends().recordNotSent();
+            fallback.recordFailedConnect();
         }
         if (sent && !mayRunOnAnotherEngine()) {
             exchange.fail(BAD_GATEWAY, "no complete response from the engine: " + reason);
@@ -312,7 +318,8 @@
     private void transferOrRetry(String reason) {
         long now = now();
         Optional<EndpointState> other = engines.leastLoadedDecoder(resumption.version(), tried, now);
-        if (kvCache.isAvailable()
+        if (!context.contacts().isLost(pool)
+                && kvCache.isAvailable()
                 && other.isPresent()
                 && sends < MAX_SENDS
                 && exchange.sends().tryReserve(1, false, now)) {
@@ -343,6 +350,12 @@
 
     private void retryOrGiveUp(String reason) {
         kvCache.free();
+        Optional<Cancellation> elsewhere = fallback.tryProxy(executions, lastEventId, resumption.version());
+        if (elsewhere.isPresent()) {
+            stallDetector.stop();
+            current = elsewhere.get();
+            return;
+        }
         long now = now();
         if (sends < MAX_SENDS && exchange.remainingMillis(now) > 0) {
             retryReason = Optional.of(reason);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -8,6 +8,7 @@
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.PrefixBlock;
 import org.ragwortpitch.edge.peer.GossipRound;
+import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.pacing.EndpointPacer;
 import org.ragwortpitch.pacing.LimitReading;
@@ -96,8 +97,11 @@
                 newGossip(times).setDigestOf(context.self().domain().value());
         context.peers()
                 .reachableDirect(nowMillis)
-                .forEach((peer, ready) -> gossip.addHeard(
-                        HeardDaemon.newBuilder().setInstance(peer.value()).setReady(ready)));
+                .forEach((peer, status) -> gossip.addHeard(HeardDaemon.newBuilder()
+                        .setInstance(peer.value())
+                        .setReady(status.ready())
+                        .setProxyPort(status.proxyPort())
+                        .addAllUnreachablePools(status.unreachablePoolNames())));
         avoided.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         context.accounts()
                 .forEachSpentInDomain((account, tokens) -> gossip.addSpends(
@@ -114,12 +118,15 @@
     }
 
     private Gossip.Builder newGossip(int steps) {
+        PeerStatus status = context.status().get();
         Gossip.Builder gossip = Gossip.newBuilder()
                 .setInstance(context.self().id().value())
                 .setBornMillis(context.self().startMillis())
                 .setSequence(++sequence)
                 .setEndpointsChanged(endpointsChangedOffset + 1)
-                .setReady(context.ready().getAsBoolean())
+                .setReady(status.ready())
+                .setProxyPort(status.proxyPort())
+                .addAllUnreachablePools(status.unreachablePoolNames())
                 .setWallMillis(context.wallMillis().getAsLong());
         long nowMillis = context.clockMillis().getAsLong();
         context.poisonRequests()
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -12,6 +12,7 @@
 import java.util.function.LongConsumer;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.PrefixBlock;
+import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
@@ -136,7 +137,7 @@
     private void receivePeerState(InstanceId peer, Gossip gossip) {
         long now = context.clockMillis().getAsLong();
         long startMillis = gossip.getBornMillis();
-        if (!peers.recordGossip(peer, startMillis, gossip.getSequence(), gossip.getReady(), now)) {
+        if (!peers.recordGossip(peer, startMillis, gossip.getSequence(), status(gossip), now)) {
             return;
         }
         context.agreed()
@@ -171,13 +172,17 @@
         long now = context.clockMillis().getAsLong();
         InstanceId domain = domainSender(gossip.getDigestOf());
         boolean own = gossip.getDigestOf().equals(context.self().domain().value());
-        if (own || !peers.recordGossip(relaySender(relay), gossip.getBornMillis(), gossip.getSequence(), true, now)) {
+        if (own
+                || !peers.recordGossip(
+                        relaySender(relay), gossip.getBornMillis(), gossip.getSequence(), PeerStatus.of(true), now)) {
             return;
         }
-        peers.recordRelayedState(domain, true, now);
-        peers.recordRelayedState(relay, gossip.getReady(), now);
+        peers.recordRelayedState(domain, PeerStatus.of(true), now);
+        peers.recordRelayedState(relay, status(gossip), now);
         for (HeardDaemon relayed : gossip.getHeardList()) {
-            peers.recordRelayedState(new InstanceId(relayed.getInstance()), relayed.getReady(), now);
+            PeerStatus status =
+                    PeerStatus.decode(relayed.getReady(), relayed.getProxyPort(), relayed.getUnreachablePoolsList());
+            peers.recordRelayedState(new InstanceId(relayed.getInstance()), status, now);
         }
         context.agreed()
                 .recordReading(
@@ -242,6 +247,10 @@
         return avoided;
     }
 
+    private static PeerStatus status(Gossip gossip) {
+        return PeerStatus.decode(gossip.getReady(), gossip.getProxyPort(), gossip.getUnreachablePoolsList());
+    }
+
     private EndpointState engine(EngineLoad load) {
         EndpointState state = context.endpoints().find(new EndpointId(load.getEndpoint()));
         return state == null || state.engine() == null ? null : state;
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
@@ -0,0 +1,205 @@
+package org.ragwortpitch.edge.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.lang.System.Logger;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.contact.ProxyPeer;
+import org.ragwortpitch.edge.http.CallFailure;
+import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.edge.http.OutboundRequest;
+import org.ragwortpitch.edge.http.ResponseListener;
+import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.logging.Event;
+
+/**
+ * Passes one request to a daemon that reaches the endpoints, and forwards its response. Another daemon gets the request
+ * only if the one before declined it or was not reached. Confined to the traffic thread.
+ */
+final class ProxiedRun implements Cancellation, ResponseListener {
+
+    private static final Logger LOGGER = System.getLogger(ProxiedRun.class.getName());
+
+    /** Daemons that one request is passed to, one after the other. */
+    private static final int MAX_PEERS = 3;
+
+    /** Retry-After of a request that no daemon can serve, in milliseconds: about as long as contact takes to return. */
+    static final long RETRY_AFTER_MILLIS = 300;
+
+    /** Longest idle time of a connection to a daemon that is reused, in milliseconds. */
+    private static final long MAX_IDLE_MILLIS = 2_000;
+
+    private static final int OK = 200;
+
+    private static final int BAD_GATEWAY = 502;
+
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private final TrafficContext context;
+    private final Exchange exchange;
+    private final PoolId pool;
+    private final ProxyHop hop;
+    private final long lastEventId;
+    private final Set<InstanceId> asked = new HashSet<>();
+    private final ByteBuf body = Unpooled.buffer();
+    private ProxyPeer peer;
+    private Cancellation currentSend = Cancellation.NONE;
+    private int status;
+    private HttpHeaders headers;
+    private boolean streaming;
+
+    private ProxiedRun(TrafficContext context, Exchange exchange, PoolId pool, ProxyHop hop, long lastEventId) {
+        this.context = context;
+        this.exchange = exchange;
+        this.pool = pool;
+        this.hop = hop;
+        this.lastEventId = lastEventId;
+    }
+
+    /**
+     * Passes a request on that no endpoint has got yet, and refuses it if no daemon takes it.
+     */
+    static Cancellation startAtArrival(TrafficContext context, Exchange exchange, PoolId pool, ProxyHop hop) {
+        ProxiedRun run = new ProxiedRun(context, exchange, pool, hop, StreamEvent.NO_ID);
+        long remainingMillis = Math.max(1, exchange.remainingMillis(run.now()));
+        ScheduledFuture<?> deadline = context.loop().schedule(run::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
+        exchange.whenDone(() -> {
+            deadline.cancel(false);
+            run.cancel();
+        });
+        run.passOn();
+        return exchange::recordCallerLeft;
+    }
+
+    /**
+     * Passes a request on whose deadline and end the caller of this method watches.
+     *
+     * @param lastEventId the last event of the stream that went to the caller; {@link StreamEvent#NO_ID} if none
+     */
+    static Cancellation start(TrafficContext context, Exchange exchange, PoolId pool, ProxyHop hop, long lastEventId) {
+        ProxiedRun run = new ProxiedRun(context, exchange, pool, hop, lastEventId);
+        run.passOn();
+        return run;
+    }
+
+    private void passOn() {
+        Optional<ProxyPeer> choice = asked.size() < MAX_PEERS
+                ? context.proxies().choose(pool, asked, exchange.attemptId().hashCode())
+                : Optional.empty();
+        if (choice.isEmpty()) {
+            exchange.failOrRefuse(
+                    hop.executions() > 0,
+                    RETRY_AFTER_MILLIS,
+                    "no daemon in reach has contact with an endpoint of pool " + pool + ": retry later");
+            return;
+        }
+        peer = choice.get();
+        asked.add(peer.id());
+        Event.of("proxied")
+                .with("request", exchange.attemptId())
+                .with("daemon", peer.id())
+                .with("pool", pool)
+                .with("executions", hop.executions())
+                .with("after", lastEventId)
+                .info(LOGGER);
+        exchange.recordProxiedBy(peer.id());
+        context.proxies().begin(peer);
+        currentSend = context.proxies().connections().send(peer.address(), request(), MAX_IDLE_MILLIS, this);
+    }
+
+    private OutboundRequest request() {
+        HttpHeaders forwarded =
+                ForwardHeaders.ofProxiedRequest(exchange.request().headers());
+        forwarded.set(Headers.DEADLINE, Math.max(1, exchange.remainingMillis(now())));
+        forwarded.set(ProxyHop.HEADER, hop.encode());
+        if (lastEventId != StreamEvent.NO_ID) {
+            forwarded.set(Headers.LAST_EVENT, lastEventId);
+        }
+        return new OutboundRequest(
+                exchange.request().method(),
+                exchange.request().target(),
+                forwarded,
+                exchange.request().body(),
+                exchange.attemptId());
+    }
+
+    @Override
+    public void onHead(int newStatus, HttpHeaders newHeaders) {
+        status = newStatus;
+        headers = newHeaders;
+        streaming = newStatus == OK && "chunked".equalsIgnoreCase(newHeaders.get("transfer-encoding"));
+        if (streaming && !exchange.isDone() && !exchange.isStreamBegun()) {
+            exchange.beginStream(newStatus, newHeaders);
+        }
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+        if (!streaming) {
+            body.writeBytes(content);
+        } else if (!exchange.isDone()) {
+            exchange.forwardChunk(ByteBufUtil.getBytes(content));
+        }
+    }
+
+    @Override
+    public void onEnd(boolean framed) {
+        finish();
+        if (exchange.isDone()) {
+            return;
+        }
+        if (headers.contains(ProxyHop.DECLINED)) {
+            body.clear();
+            passOn();
+        } else if (streaming && framed) {
+            exchange.endProxiedStream();
+        } else if (exchange.isStreamBegun() || !framed) {
+            exchange.fail(BAD_GATEWAY, "daemon did not complete the response: status " + status);
+        } else {
+            exchange.forwardProxiedResponse(status, headers, body);
+        }
+    }
+
+    @Override
+    public void onFailure(CallFailure failure) {
+        InstanceId failed = peer.id();
+        finish();
+        if (exchange.isDone()) {
+            return;
+        }
+        if (failure.sent()) {
+            exchange.fail(BAD_GATEWAY, "no complete response from daemon " + failed + ": " + failure.reason());
+        } else {
+            passOn();
+        }
+    }
+
+    @Override
+    public void cancel() {
+        currentSend.cancel();
+        finish();
+    }
+
+    private void onDeadline() {
+        exchange.fail(GATEWAY_TIMEOUT, "no response within the deadline of the request and the timeout of the route");
+    }
+
+    private void finish() {
+        if (peer != null) {
+            context.proxies().end(peer);
+            peer = null;
+        }
+    }
+
+    private long now() {
+        return context.clockMillis().getAsLong();
+    }
+}
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -15,6 +15,7 @@
 import org.ragwortpitch.deployment.RequestKind;
 import org.ragwortpitch.edge.http.CallFailure;
 import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.edge.http.OutboundSend;
 import org.ragwortpitch.edge.http.ResponseListener;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
@@ -60,24 +61,35 @@
     private final TrafficContext context;
     private final Exchange exchange;
     private final PoolId pool;
+    private final ProxyFallback fallback;
     private final Set<EndpointId> tried = new HashSet<>();
     private int sends;
+    private boolean passedOn;
     private int executions;
     private Cancellation currentSend = Cancellation.NONE;
     private Attempt current;
 
-    ServiceRun(TrafficContext context, Exchange exchange, PoolId pool) {
+    /**
+     * Prepares a run; {@link #start()} starts it.
+     *
+     * @param fallback used once this daemon reaches no endpoint
+     */
+    ServiceRun(TrafficContext context, Exchange exchange, PoolId pool, ProxyFallback fallback) {
         this.context = context;
         this.exchange = exchange;
         this.pool = pool;
+        this.fallback = fallback;
+        this.executions = fallback.earlierExecutions();
     }
 
     void start() {
         long now = now();
         ScheduledFuture<?> deadline = context.loop()
                 .schedule(this::onDeadline, Math.max(1, exchange.remainingMillis(now)), TimeUnit.MILLISECONDS);
+        Cancellation lossListener = context.contacts().onLoss(pool, this::onContactLost);
         exchange.whenDone(() -> {
             deadline.cancel(false);
+            lossListener.cancel();
             if (current != null) {
                 current.finish();
             }
@@ -85,6 +97,40 @@
         send(now);
     }
 
+    /**
+     * Passes the request on if it was not sent yet, or may be sent again.
+     */
+    private void onContactLost() {
+        if (current == null || current.ended || exchange.isDone()) {
+            return;
+        }
+        if (!current.send.hasBegun()) {
+            current.send.cancel();
+            current.finish();
+            fallback.recordFailedConnect();
+            retryOrGiveUp("contact with the pool was lost before the request was sent");
+        } else if (mayStall()) {
+            current.onStall();
+        }
+    }
+
+    private boolean mayStall() {
+        return exchange.route().kind() == RequestKind.SAFE
+                && executions + 1 < exchange.route().maxEndpoints();
+    }
+
+    /**
+     * Lets another daemon serve the request, if this one reaches no endpoint and another does.
+     */
+    private boolean passOn() {
+        Optional<Cancellation> elsewhere = fallback.tryProxy(executions, StreamEvent.NO_ID, Optional.empty());
+        elsewhere.ifPresent(proxied -> {
+            currentSend = proxied;
+            passedOn = true;
+        });
+        return passedOn;
+    }
+
     @Override
     public void cancel() {
         currentSend.cancel();
@@ -92,6 +138,9 @@
     }
 
     private void send(long now) {
+        if (passOn()) {
+            return;
+        }
         Optional<EndpointState> choice = choose(now);
         if (choice.isEmpty()) {
             exchange.failOrRefuse(
@@ -112,13 +161,14 @@
         boolean retryable = exchange.route().kind() == RequestKind.SAFE;
         Attempt attempt = new Attempt(target, now);
         current = attempt;
-        currentSend = context.connections()
+        attempt.send = context.connections()
                 .send(
                         target.endpoint().address(),
                         exchange.outbound(target, now),
                         retryable ? Long.MAX_VALUE : MAX_UNSAFE_IDLE_MILLIS,
                         attempt);
-        if (retryable && executions + 1 < exchange.route().maxEndpoints()) {
+        currentSend = attempt.send;
+        if (mayStall()) {
             long stallMillis =
                     (long) STALL_TARGETS * Math.max(1, exchange.route().targetMillis());
             attempt.stallTimer = context.loop().schedule(attempt::onStall, stallMillis, TimeUnit.MILLISECONDS);
@@ -141,6 +191,9 @@
             exchange.failOrRefuse(executions > 0, 0, poisonReason.get());
             return;
         }
+        if (passOn()) {
+            return;
+        }
         long now = now();
         boolean allowed = sends < MAX_SENDS
                 && exchange.remainingMillis(now) > 0
@@ -163,7 +216,7 @@
 
     private void onDeadline() {
         currentSend.cancel();
-        if (executions == 0 && sends == 0) {
+        if (executions == 0 && sends == 0 && !passedOn) {
             exchange.refuse(
                     UNAVAILABLE,
                     RETRY_AFTER_MILLIS,
@@ -186,6 +239,7 @@
         private final EndpointState target;
         private final long sentMillis;
         private final ByteBuf body = Unpooled.buffer();
+        private OutboundSend send;
         private ScheduledFuture<?> stallTimer;
         private boolean ended;
         private int status;
@@ -248,7 +302,7 @@
                 return;
             }
             if (!failure.sent()) {
-                exchange.sends().recordNotSent();
+                fallback.recordFailedConnect();
                 retryOrGiveUp("request not sent to the endpoint: " + failure.reason());
                 return;
             }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamResumption.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamResumption.java
@@ -56,7 +56,8 @@
      * @param onUnknown called with the reason if it cannot be known
      */
     void resolve(Runnable onReady, Consumer<String> onUnknown) {
-        if (takesUp) {
+        version = exchange.hop().flatMap(ProxyHop::streamVersion);
+        if (takesUp && version.isEmpty()) {
             resolveUntil(now() + MAX_WAIT_MILLIS, onReady, onUnknown);
         } else {
             onReady.run();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
@@ -23,6 +23,8 @@
         FailureDomain domain,
         ConnectionPool connections,
         EndpointTable endpoints,
+        EndpointContacts contacts,
+        ProxyPeers proxies,
         AccountRateLimits accounts,
         RetryBudgets retryBudgets,
         WindowCounts usage,
--- a/edge/src/test/java/org/ragwortpitch/edge/CutFromEndpointsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/CutFromEndpointsTest.java
@@ -43,6 +43,9 @@
     /** Time after which a request that can't be served counts as held, in milliseconds. */
     private static final long HELD_MILLIS = 500;
 
+    /** Time after which the usage of all requests is reported, in milliseconds. */
+    private static final long USAGE_SETTLED_MILLIS = 6_000;
+
     /** Requests of callers that are judged, one after the other pause. */
     private static final int JUDGED_REQUESTS = 30;
 
@@ -201,6 +204,31 @@
         assertUnsafeRequestsRanOnce();
     }
 
+    private long usage() {
+        return store.duties().stream()
+                .filter(duty -> duty.startsWith("/usage"))
+                .distinct()
+                .mapToLong(duty -> Long.parseLong(duty.replaceAll(".*\"families\":(\\d+).*", "$1")))
+                .sum();
+    }
+
+    /** Guards against requests that both the daemon that passes them on and the one that serves them charge. */
+    @Test
+    void testRequestThatIsPassedOnIsChargedOnce() throws Exception {
+        List<PartitionableLink> links = links();
+        Edge cut = startBehind("front-1", links);
+        Edge other = daemons.start("front-2");
+        awaitBothListed(cut, other);
+        partition(links, Partition.RESET);
+        TestDaemons.await(() -> served(send(cut, 3)) == 3);
+        TimeUnit.MILLISECONDS.sleep(USAGE_SETTLED_MILLIS);
+        long before = usage();
+        assertEquals(9, served(send(cut, 9)));
+        TestDaemons.await(() -> usage() >= before + 9);
+        TimeUnit.MILLISECONDS.sleep(USAGE_SETTLED_MILLIS);
+        assertEquals(before + 9, usage());
+    }
+
     /** Guards against a directory that sends callers to a daemon that reaches no endpoint. */
     @Test
     void testDirectoryLeavesOutADaemonThatReachesNoEndpoint() throws Exception {
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +29,7 @@
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.deployment.PrefixBlock;
 import org.ragwortpitch.edge.peer.GossipRound;
+import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
@@ -231,6 +233,21 @@
         assertEquals(Optional.empty(), started.origins.versionOf(stream, nowMillis));
     }
 
+    /** Guards against requests that are passed to a daemon of another domain which can't serve them either. */
+    @Test
+    void testDaemonsOfAllDomainsLearnWhichPoolsADaemonReaches() {
+        Member cut = members.get("a2");
+        PeerStatus status = new PeerStatus(true, 7_600, Set.of(POOL));
+        cut.status = status;
+        advance(SECOND_MILLIS);
+        for (String observer : List.of("a1", "b1", "b2")) {
+            assertEquals(status, members.get(observer).peers.status(cut.self), observer);
+        }
+        cut.status = new PeerStatus(true, 7_600, Set.of());
+        advance(SECOND_MILLIS);
+        assertEquals(cut.status, members.get("b2").peers.status(cut.self));
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
@@ -260,6 +277,7 @@
         private final EndpointTable endpoints;
         private final Gossiper gossiper;
         private long endpointsChanged = -1;
+        private PeerStatus status = PeerStatus.of(true);
 
         Member(String name) {
             self = new Daemon(new InstanceId(name), 1, new FailureDomain(name.substring(0, 1)), name, name);
@@ -298,7 +316,7 @@
                     poison,
                     origins,
                     new WindowCounts(5_000),
-                    () -> true,
+                    () -> status,
                     new MedianClock(nowMillis, nowMillis),
                     () -> nowMillis,
                     () -> nowMillis);
--- a/policy/src/main/java/org/ragwortpitch/contact/PoolContact.java
+++ b/policy/src/main/java/org/ragwortpitch/contact/PoolContact.java
@@ -83,7 +83,17 @@
     }
 
     /**
-     * Advances to the present time. Called periodically.
+     * Returns whether {@link #advance} has anything to do, which it rarely has. Called periodically.
+     *
+     * @param waiting whether a request waits for an endpoint
+     */
+    public boolean isDue(boolean waiting, long nowMillis) {
+        trackSilence(waiting, nowMillis);
+        return lost || suspectedMillis != NEVER || isSilentForLong(nowMillis);
+    }
+
+    /**
+     * Advances to the present time.
      *
      * @param endpoints the endpoints of the pool that are not leaving, those to probe first in front
      * @param waiting   whether a request waits for one of them
--- a/policy/src/main/java/org/ragwortpitch/contact/RelayPeer.java
+++ b/policy/src/main/java/org/ragwortpitch/contact/ProxyPeer.java
@@ -12,7 +12,7 @@
  * @param sameDomain whether it is in the failure domain of this daemon
  * @param passed     requests of this daemon that it is handling
  */
-public record RelayPeer(InstanceId id, String address, boolean sameDomain, int passed) {
+public record ProxyPeer(InstanceId id, String address, boolean sameDomain, int passed) {
 
     /** Cost of traffic to another failure domain, in requests that a peer is handling. */
     private static final int CROSS_DOMAIN_PENALTY_REQUESTS = 4;
@@ -22,9 +22,9 @@
      *
      * @param seed differs between requests, so that those of several daemons spread over equal peers
      */
-    public static Optional<RelayPeer> choose(Collection<RelayPeer> peers, int seed) {
+    public static Optional<ProxyPeer> choose(Collection<ProxyPeer> peers, int seed) {
         return peers.stream()
-                .min(Comparator.comparingInt(RelayPeer::cost)
+                .min(Comparator.comparingInt(ProxyPeer::cost)
                         .thenComparingInt(peer -> mix(peer.id().hashCode() ^ seed))
                         .thenComparing(peer -> peer.id().value()));
     }
--- a/policy/src/main/java/org/ragwortpitch/health/HealthScore.java
+++ b/policy/src/main/java/org/ragwortpitch/health/HealthScore.java
@@ -31,6 +31,15 @@
         unusableUntilMillis = 0;
     }
 
+    /**
+     * Forgets all failures, as they were not the endpoint's.
+     */
+    public void forget() {
+        failureRate = 0;
+        backoffMillis = 0;
+        unusableUntilMillis = 0;
+    }
+
     /**
      * Records a failure.
      *
--- a/policy/src/test/java/org/ragwortpitch/contact/ServingPlanTest.java
+++ b/policy/src/test/java/org/ragwortpitch/contact/ServingPlanTest.java
@@ -30,28 +30,28 @@
         assertEquals(expected, ServingPlan.of(contactLost, passedOn, peerInContact));
     }
 
-    private static RelayPeer peer(String id, boolean sameDomain, int passed) {
-        return new RelayPeer(new InstanceId(id), id, sameDomain, passed);
+    private static ProxyPeer peer(String id, boolean sameDomain, int passed) {
+        return new ProxyPeer(new InstanceId(id), id, sameDomain, passed);
     }
 
     @Test
     void testPeerOfTheSameDomainIsPreferredUntilItHandlesManyMore() {
-        RelayPeer far = peer("far", false, 0);
+        ProxyPeer far = peer("far", false, 0);
         assertEquals(Optional.of("near"), address(List.of(peer("near", true, 4), far)));
         assertEquals(Optional.of("far"), address(List.of(peer("near", true, 5), far)));
         assertEquals(Optional.empty(), address(List.of()));
     }
 
-    private static Optional<String> address(List<RelayPeer> peers) {
-        return RelayPeer.choose(peers, 1).map(RelayPeer::address);
+    private static Optional<String> address(List<ProxyPeer> peers) {
+        return ProxyPeer.choose(peers, 1).map(ProxyPeer::address);
     }
 
     @Test
     void testRequestsSpreadOverEqualPeers() {
-        List<RelayPeer> peers = List.of(peer("a", true, 0), peer("b", true, 0), peer("c", true, 0));
+        List<ProxyPeer> peers = List.of(peer("a", true, 0), peer("b", true, 0), peer("c", true, 0));
         Map<String, Integer> chosen = new HashMap<>();
         for (int seed = 0; seed < 900; seed++) {
-            chosen.merge(RelayPeer.choose(peers, seed).orElseThrow().address(), 1, Integer::sum);
+            chosen.merge(ProxyPeer.choose(peers, seed).orElseThrow().address(), 1, Integer::sum);
         }
         assertEquals(3, chosen.size());
         chosen.forEach((peer, count) -> assertEquals(300, count, 100, peer));
--- a/policy/src/test/java/org/ragwortpitch/contact/SimulatedFleet.java
+++ b/policy/src/test/java/org/ragwortpitch/contact/SimulatedFleet.java
@@ -230,10 +230,10 @@
         private void request() {
             requests++;
             asked++;
-            List<RelayPeer> peers = new ArrayList<>();
+            List<ProxyPeer> peers = new ArrayList<>();
             daemons.stream()
                     .filter(peer -> passOn && peer != this && !peer.gossipLost)
-                    .forEach(peer -> peers.add(new RelayPeer(peer.id, peer.id.value(), true, 0)));
+                    .forEach(peer -> peers.add(new ProxyPeer(peer.id, peer.id.value(), true, 0)));
             switch (ServingPlan.of(isLost(), false, !peers.isEmpty())) {
                 case HERE -> served += execute(requests) || path == Path.REFUSE && pass(peers) ? 1 : 0;
                 case BY_PEER -> served += pass(peers) ? 1 : 0;
@@ -244,10 +244,10 @@
         }
 
         /** Passes the request on until a peer doesn't decline it. */
-        private boolean pass(List<RelayPeer> peers) {
+        private boolean pass(List<ProxyPeer> peers) {
             int handlers = 1;
             while (!peers.isEmpty() && handlers <= MAX_PEERS) {
-                RelayPeer chosen = RelayPeer.choose(peers, requests).orElseThrow();
+                ProxyPeer chosen = ProxyPeer.choose(peers, requests).orElseThrow();
                 peers.remove(chosen);
                 mostHandlers = Math.max(mostHandlers, ++handlers);
                 SimulatedDaemon peer = daemons.stream()
