Announce to other daemons only endpoints that have refused

Cause: a prefill that got no answer counted as a refusal of its engine. A daemon that reached no engine told all others to avoid them, again with each request, so that they left sound prefill engines out.

Evidence: testCutDaemonHasNoEndpointAvoidedByOthers, before this change: the prefill engine is announced for paths that hang and that are reset.

Change: an engine that has not answered is paused here and not announced; one that has answered without a KV cache is announced as before.

Why it works: only an answer says something about the engine that holds for daemons with other paths.

Measured: the test passes for all three kinds of paths.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -114,6 +114,13 @@
         return nowMillis < avoidUntilMillis;
     }
 
+    /**
+     * Gives the endpoint no further requests of this daemon for a while, as it did not answer one.
+     */
+    void pause(long pauseMillis, long nowMillis) {
+        health.refused(pauseMillis, nowMillis);
+    }
+
     /**
      * Records that the endpoint refused a request before it executed it.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -39,7 +39,7 @@
     private static final int MAX_SENDS = 5;
 
     /** Pause before the next request to an engine that refused one, in milliseconds: part of a role switch. */
-    private static final long REFUSAL_PAUSE_MILLIS = 600;
+    static final long REFUSAL_PAUSE_MILLIS = 600;
 
     private final TrafficContext context;
     private final EngineSelector engines;
@@ -156,10 +156,7 @@
                     engine.recordLatency(stallDetector.elapsedMillis(), estimate);
                     onPrefilled(state, handle);
                 },
-                failure -> {
-                    state.recordRefusal(REFUSAL_PAUSE_MILLIS, now());
-                    onPrefillFailed(failure);
-                });
+                this::onPrefillFailed);
         current = prefill;
         state.recordSentBlocks(generation.parts());
         stallDetector.watch(state, now);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
@@ -85,19 +85,25 @@
     public void onEnd(boolean framed) {
         finish();
         if (status != OK) {
-            onFailure.accept(CallFailure.sent("engine refused the prefill: status " + status));
+            refuse("engine refused the prefill: status " + status);
             return;
         }
         try {
             onHandle.accept(EngineCodec.handle(ByteBufUtil.getBytes(body)));
         } catch (CodecException exception) {
-            onFailure.accept(CallFailure.sent(exception.getMessage()));
+            refuse(exception.getMessage());
         }
     }
 
+    private void refuse(String reason) {
+        target.recordRefusal(GenerationRun.REFUSAL_PAUSE_MILLIS, clockMillis.getAsLong());
+        onFailure.accept(CallFailure.sent(reason));
+    }
+
     @Override
     public void onFailure(CallFailure failure) {
         finish();
+        target.pause(GenerationRun.REFUSAL_PAUSE_MILLIS, clockMillis.getAsLong());
         onFailure.accept(new CallFailure(failure.sent(), "no complete response to the prefill: " + failure.reason()));
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/CutFromEndpointsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/CutFromEndpointsTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.edge.standin.GossipListener;
 import org.ragwortpitch.edge.standin.PartitionableLink;
 import org.ragwortpitch.edge.standin.PartitionableLink.Partition;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
@@ -229,6 +230,27 @@
         assertEquals(before + 9, usage());
     }
 
+    /** Guards against sound endpoints that all daemons avoid as a cut one tells them to. */
+    @ParameterizedTest
+    @EnumSource
+    void testCutDaemonHasNoEndpointAvoidedByOthers(Partition kind) throws Exception {
+        engines.get(0).list(store, "llm", "prefill", "ready");
+        assertEquals(Set.of(), toldByCutDaemon(kind).avoidedEndpoints());
+    }
+
+    /** Returns what a daemon tells others until three seconds after a cut that comes while requests are under way. */
+    private GossipListener toldByCutDaemon(Partition kind) throws Exception {
+        List<PartitionableLink> links = links();
+        Edge cut = startBehind("front-1", links);
+        GossipListener listener = closer.add(new GossipListener());
+        listener.list(store, "front-9");
+        TestDaemons.await(() -> listener.received() > 0);
+        send(cut, 9);
+        partition(links, kind);
+        send(cut, (int) (CONTACT_MILLIS / PAUSE_MILLIS));
+        return listener;
+    }
+
     /** Guards against a directory that sends callers to a daemon that reaches no endpoint. */
     @Test
     void testDirectoryLeavesOutADaemonThatReachesNoEndpoint() throws Exception {
