Don't hold requests responsible for crashes when the paths to a pool broke

Cause: when all connections to endpoints are reset at once, each request that was under way counts as a suspect for the crash of its endpoint, and all daemons are told. A prompt or request at several endpoints can then be refused by the whole fleet.

Evidence: testCutDaemonCondemnsNoRequest before this change: three endpoints with suspects in the gossip of a daemon whose paths were reset.

Change: once contact with a pool is lost, the daemon withdraws the crashes that it has recorded there within the time that a loss takes to be known, and records none until contact is back.

Why it works: the withdrawal is the refutation that all daemons know already, and merges like it.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
@@ -31,6 +31,7 @@
 
     private final Supplier<EndpointTable> endpoints;
     private final Consumer<String> probe;
+    private final PoisonRequests poison;
     private final EdgeMetrics metrics;
     private final LongSupplier clockMillis;
     private final Map<PoolId, PoolContact> contacts = new HashMap<>();
@@ -41,12 +42,18 @@
      * Creates contacts for the endpoints in a table.
      *
      * @param probe       opens a connection to an address and closes it again; this observer learns the outcome
+     * @param poison      told to withdraw crashes that were broken paths
      * @param clockMillis the monotonic clock, in milliseconds
      */
     public EndpointContacts(
-            Supplier<EndpointTable> endpoints, Consumer<String> probe, EdgeMetrics metrics, LongSupplier clockMillis) {
+            Supplier<EndpointTable> endpoints,
+            Consumer<String> probe,
+            PoisonRequests poison,
+            EdgeMetrics metrics,
+            LongSupplier clockMillis) {
         this.endpoints = endpoints;
         this.probe = probe;
+        this.poison = poison;
         this.metrics = metrics;
         this.clockMillis = clockMillis;
     }
@@ -134,6 +141,7 @@
                 .warn(LOGGER);
         metrics.recordDependencyLoss("endpoints");
         endpoints.get().pools().forEach(other -> contact(other).suspect(now));
+        poison.withdrawCrashes(pool, now - PoolContact.MAX_DETECTION_MILLIS, now);
         List.copyOf(lossListeners.getOrDefault(pool, Set.of())).forEach(Runnable::run);
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -190,6 +190,9 @@
      * @param mayBeCause whether the endpoint may have crashed on this request
      */
     void recordCrash(EndpointState target, boolean responded, boolean mayBeCause) {
+        if (context.contacts().isLost(target.endpoint().pool())) {
+            return;
+        }
         context.poisonRequests()
                 .recordCrash(
                         attemptId,
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
@@ -5,15 +5,19 @@
 import java.lang.System.Logger;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.PrefixBlock;
 import org.ragwortpitch.edge.front.CallerRequest;
+import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.PrefixBlockId;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.poison.CrashCause;
@@ -37,6 +41,15 @@
     /** What was in the requests that this daemon has lost, least recently lost first. */
     private final Set<CrashCause> lostCauses = new LinkedHashSet<>();
 
+    /** Crashes that this daemon has recorded itself, least recent first. */
+    private final Map<EndpointIncarnation, OwnCrash> ownCrashes = new LinkedHashMap<>() {
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, OwnCrash> eldest) {
+            return size() > MAX_LOST_CAUSES;
+        }
+    };
+
     private Set<CrashCause> announcedPoison = Set.of();
 
     /**
@@ -83,6 +96,7 @@
                 lostCauses.remove(lostCauses.iterator().next());
             }
             tracker.crashed(endpoint.incarnation(), causes, nowMillis);
+            ownCrashes.put(endpoint.incarnation(), new OwnCrash(endpoint.pool(), nowMillis));
         }
         Event.of("suspect")
                 .with("request", attemptId)
@@ -96,6 +110,19 @@
         announcePoison(nowMillis);
     }
 
+    /**
+     * Withdraws the crashes that this daemon has recorded of a pool since a time, as it has lost its paths to it.
+     */
+    void withdrawCrashes(PoolId pool, long sinceMillis, long nowMillis) {
+        ownCrashes.values().removeIf(crash -> crash.atMillis() < sinceMillis);
+        ownCrashes.forEach((endpoint, crash) -> {
+            if (crash.pool().equals(pool)) {
+                tracker.withdraw(endpoint, nowMillis);
+            }
+        });
+        announcePoison(nowMillis);
+    }
+
     /**
      * Records that an endpoint has begun to respond to a request.
      *
@@ -169,6 +196,9 @@
                 .forEach(cause -> onPoison.accept(cause, tracker.crashes(nowMillis)));
     }
 
+    /** When this daemon lost a request at an endpoint of a pool. */
+    private record OwnCrash(PoolId pool, long atMillis) {}
+
     private static String join(Collection<CrashCause> causes, CrashCause.Kind kind) {
         return causes.stream()
                 .filter(cause -> cause.kind() == kind)
--- a/edge/src/test/java/org/ragwortpitch/edge/CutFromEndpointsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/CutFromEndpointsTest.java
@@ -238,6 +238,15 @@
         assertEquals(Set.of(), toldByCutDaemon(kind).avoidedEndpoints());
     }
 
+    /** Guards against sound requests that all daemons refuse as a cut one lost them at several endpoints. */
+    @ParameterizedTest
+    @EnumSource
+    void testCutDaemonCondemnsNoRequest(Partition kind) throws Exception {
+        engines.forEach(engine -> engine.pace(400));
+        services.forEach(service -> service.pace(400));
+        assertEquals(Set.of(), toldByCutDaemon(kind).endpointsWithSuspects());
+    }
+
     /** Returns what a daemon tells others until three seconds after a cut that comes while requests are under way. */
     private GossipListener toldByCutDaemon(Partition kind) throws Exception {
         List<PartitionableLink> links = links();
--- a/policy/src/main/java/org/ragwortpitch/contact/PoolContact.java
+++ b/policy/src/main/java/org/ragwortpitch/contact/PoolContact.java
@@ -16,6 +16,9 @@
     /** How long a connection may take to open, in milliseconds: several round trips within a region. */
     public static final long CONNECT_MILLIS = 350;
 
+    /** Longest time from the break of paths with requests under way to the loss of contact, in milliseconds. */
+    public static final long MAX_DETECTION_MILLIS = 2_000;
+
     /** Silence that raises a suspicion, in milliseconds: several times the gap between events of a stream. */
     private static final long SUSPECT_MILLIS = 300;
 
--- a/policy/src/main/java/org/ragwortpitch/poison/PoisonTracker.java
+++ b/policy/src/main/java/org/ragwortpitch/poison/PoisonTracker.java
@@ -107,6 +107,17 @@
         }
     }
 
+    /**
+     * Withdraws the crash of an endpoint, as it turned out that only the path to it broke.
+     */
+    public void withdraw(EndpointIncarnation endpoint, long nowMillis) {
+        EndpointCrash crash = crashes.get(endpoint);
+        if (crash != null && !crash.refuted()) {
+            put(crash.withResponse(), nowMillis);
+            evaluate(nowMillis);
+        }
+    }
+
     /**
      * Records that a request has completed, which clears its causes of all crashes so far.
      *
