Leave duties to a daemon in contact while this one reaches no endpoint

Cause: the duties' group knows daemons by the store alone. A holder that reaches no endpoint can't order engines to other roles.

Evidence: testCutDaemonGivesItsDutiesUpToOneInContact before this change: no duty call of the other daemon in 15 s.

Change: a daemon that reaches no endpoint of any pool leaves the group while another one that takes callers reaches some, and joins again after. While none does, the duties stay where they are, as usage is reported without endpoints (testDutiesAreKeptWhileNoDaemonReachesEndpoints).

Why it works: the store assigns the duties to another member with a higher generation; a returning daemon waits as after any interruption.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -388,9 +388,12 @@
     private void publishSamples() {
         Map<PoolId, PoolDemand> sample = demands.sample(table, clockMillis.getAsLong());
         Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = gossiper.receivedCounts();
+        boolean cutOffAlone =
+                status().isCutOff(table.pools()) && peers.anyInContact(table.pools(), clockMillis.getAsLong());
         controlLoop.execute(() -> {
             control.updatePoolDemands(sample);
             control.updatePeerCounts(peerCounts);
+            control.suspendDuties(cutOffAlone);
         });
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -242,6 +242,13 @@
         }
     }
 
+    /**
+     * Leaves the duties to other daemons while this one reaches no endpoint and another does.
+     */
+    public void suspendDuties(boolean suspended) {
+        duties.suspend(suspended);
+    }
+
     /**
      * Releases the duties and leaves their group.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -42,6 +42,7 @@
     private final Duty duty;
     private boolean acting;
     private boolean stopped;
+    private boolean suspended;
 
     /**
      * Creates a runner that joins the group on {@link #start()}.
@@ -79,6 +80,22 @@
      */
     void leave(Runnable done) {
         stopped = true;
+        leaveGroup(done);
+    }
+
+    /**
+     * Releases the duties and stays out of the group until called again, as another daemon can carry them out better.
+     */
+    void suspend(boolean nowSuspended) {
+        if (!stopped && nowSuspended != suspended) {
+            suspended = nowSuspended;
+            if (suspended) {
+                leaveGroup(() -> {});
+            }
+        }
+    }
+
+    private void leaveGroup(Runnable done) {
         lease.release();
         store.call(StoreCodec.leave(GROUP, member), 0, response -> done.run(), reason -> done.run());
     }
@@ -87,6 +104,10 @@
         if (stopped) {
             return;
         }
+        if (suspended) {
+            loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         long sent = leaseMillis.getAsLong();
         store.call(
                 StoreCodec.join(GROUP, member, TOPIC, TTL_MILLIS, lease.generation()),
@@ -115,7 +136,7 @@
     }
 
     private void step() {
-        boolean mayAct = !stopped && lease.mayAct(leaseMillis.getAsLong());
+        boolean mayAct = !stopped && !suspended && lease.mayAct(leaseMillis.getAsLong());
         if (mayAct != acting) {
             acting = mayAct;
             Event.of(mayAct ? "duties-taken" : "duties-given-up")
--- a/edge/src/test/java/org/ragwortpitch/edge/CutFromEndpointsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/CutFromEndpointsTest.java
@@ -260,6 +260,33 @@
         return listener;
     }
 
+    /** Guards against orders to engines that only a daemon without paths to them could give. */
+    @Test
+    void testCutDaemonGivesItsDutiesUpToOneInContact() throws Exception {
+        List<PartitionableLink> links = links();
+        Edge cut = startBehind("front-1", links);
+        send(cut, 3);
+        TestDaemons.await(() -> !store.dutyCalls().isEmpty());
+        assertTrue(store.dutyCalls().stream().allMatch(call -> call.holder().equals("front-1")));
+        Edge other = daemons.start("front-2");
+        awaitBothListed(cut, other);
+        partition(links, Partition.HANG);
+        send(cut, JUDGED_REQUESTS);
+        TestDaemons.await(
+                () -> store.dutyCalls().stream().anyMatch(call -> call.holder().equals("front-2")));
+    }
+
+    /** Guards against usage that nobody reports as no daemon reaches an endpoint. */
+    @Test
+    void testDutiesAreKeptWhileNoDaemonReachesEndpoints() throws Exception {
+        List<PartitionableLink> links = links();
+        Edge cut = startBehind("front-1", links);
+        assertEquals(3, served(send(cut, 3)));
+        partition(links, Partition.RESET);
+        send(cut, (int) (CONTACT_MILLIS / PAUSE_MILLIS));
+        TestDaemons.await(() -> usage() == 3);
+    }
+
     /** Guards against a directory that sends callers to a daemon that reaches no endpoint. */
     @Test
     void testDirectoryLeavesOutADaemonThatReachesNoEndpoint() throws Exception {
