Log what endpoints say of themselves in their responses

The logs tell when an endpoint's entry changes and when one refuses, not that it has said in a response that it leaves or how long it wants nothing. Each response of an endpoint passes one place now, whatever it answers; endpoint-leaves and endpoint-rests are logged there. EndpointNotices keeps both by incarnation, also while the entry is away. No effect on routing yet.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -132,7 +132,8 @@
         controlLoop = newEventLoop();
         usage = new WindowCounts(bounds.usageWindowMillis());
         accounts = new AccountRateLimits(settings.firstStart());
-        contacts = new EndpointContacts(this::endpointTable, this::probe, poison, metrics, clockMillis);
+        contacts = new EndpointContacts(
+                this::endpointTable, this::probe, poison, metrics, clockMillis, this::medianMillis);
         connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis, contacts);
         EndpointPermits permits = new EndpointPermits(
                 settings.instance(), () -> peers.daemons(clockMillis.getAsLong()), this::medianMillis);
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionObserver.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionObserver.java
@@ -1,5 +1,7 @@
 package org.ragwortpitch.edge.http;
 
+import io.netty.handler.codec.http.HttpHeaders;
+
 /**
  * Learns from the connections of a pool which addresses can be reached. Called on the pool's thread.
  */
@@ -13,6 +15,9 @@
 
         @Override
         public void onConnectFailed(String address) {}
+
+        @Override
+        public void onResponse(String address, int status, HttpHeaders headers) {}
     };
 
     /**
@@ -24,4 +29,9 @@
      * Called when a connection to an address could not be opened.
      */
     void onConnectFailed(String address);
+
+    /**
+     * Called with the head of each response from an address, whatever request it answers.
+     */
+    void onResponse(String address, int status, HttpHeaders headers);
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -135,6 +136,10 @@
         return clockMillis.getAsLong();
     }
 
+    void responded(OutboundConnection connection, HttpResponse head) {
+        observer.onResponse(connection.address(), head.status().code(), head.headers());
+    }
+
     void heard(OutboundConnection connection) {
         observer.onHeard(connection.address());
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -143,6 +143,7 @@
     }
 
     private void readHead(HttpResponse head) {
+        pool.responded(this, head);
         String id = head.headers().get(Headers.ATTEMPT);
         boolean ofOtherAttempt = id != null && !attemptId.isEmpty() && !id.equals(attemptId);
         skippingResponse = ofOtherAttempt || head.status().code() < FIRST_FINAL_STATUS;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
@@ -1,5 +1,6 @@
 package org.ragwortpitch.edge.traffic;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.lang.System.Logger;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -12,6 +13,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.adapter.RetryAfterCodec;
 import org.ragwortpitch.contact.PoolContact;
 import org.ragwortpitch.contact.PoolContact.Change;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
@@ -22,18 +25,23 @@
 import org.ragwortpitch.logging.Event;
 
 /**
- * Whether this daemon reaches the endpoints of each pool, from what its connections to them show. Confined to the
- * traffic thread.
+ * Learns from the connections to endpoints whether this daemon reaches those of each pool, and what they say of
+ * themselves in any response. Confined to the traffic thread.
  */
 public final class EndpointContacts implements ConnectionObserver {
 
     private static final Logger LOGGER = System.getLogger(EndpointContacts.class.getName());
 
+    private static final String LEAVING = "1";
+
+    private static final int UNAVAILABLE = 503;
+
     private final Supplier<EndpointTable> endpoints;
     private final Consumer<String> probe;
     private final PoisonRequests poison;
     private final EdgeMetrics metrics;
     private final LongSupplier clockMillis;
+    private final LongSupplier wallMillis;
     private final Map<PoolId, PoolContact> contacts = new HashMap<>();
     private final Map<PoolId, Long> lostMillis = new HashMap<>();
     private final Map<PoolId, Set<Runnable>> lossListeners = new HashMap<>();
@@ -44,18 +52,21 @@
      * @param probe       opens a connection to an address and closes it again; this observer learns the outcome
      * @param poison      told to withdraw crashes that were broken paths
      * @param clockMillis the monotonic clock, in milliseconds
+     * @param wallMillis  the wall clock that the majority of daemons agrees on, in milliseconds since 1970
      */
     public EndpointContacts(
             Supplier<EndpointTable> endpoints,
             Consumer<String> probe,
             PoisonRequests poison,
             EdgeMetrics metrics,
-            LongSupplier clockMillis) {
+            LongSupplier clockMillis,
+            LongSupplier wallMillis) {
         this.endpoints = endpoints;
         this.probe = probe;
         this.poison = poison;
         this.metrics = metrics;
         this.clockMillis = clockMillis;
+        this.wallMillis = wallMillis;
     }
 
     @Override
@@ -74,6 +85,19 @@
                 .connectFailed(state.endpoint().id(), now()));
     }
 
+    @Override
+    public void onResponse(String address, int status, HttpHeaders headers) {
+        endpoints.get().at(address).ifPresent(state -> {
+            if (LEAVING.equals(headers.get(Headers.LEAVING))) {
+                endpoints.get().recordLeaving(state.endpoint().incarnation(), now());
+            }
+            if (status == UNAVAILABLE) {
+                RetryAfterCodec.millis(headers.get(Headers.RETRY_AFTER), wallMillis.getAsLong())
+                        .ifPresent(rest -> endpoints.get().recordRest(state, rest, now()));
+            }
+        });
+    }
+
     /**
      * Returns whether this daemon reaches no endpoint of a pool.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -13,7 +13,9 @@
 import java.util.stream.Collectors;
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.Pool;
+import org.ragwortpitch.health.EndpointNotices;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
@@ -33,6 +35,7 @@
     private final Consumer<String> onAddressRemoved;
     private final boolean firstStart;
     private final Map<PoolId, ListedVersions> versions = new HashMap<>();
+    private final EndpointNotices notices = new EndpointNotices();
     private Map<EndpointId, EndpointState> states = new HashMap<>();
     private Map<String, EndpointState> statesByAddress = Map.of();
 
@@ -53,6 +56,7 @@
      * Applies a new listing; endpoints of the same incarnation keep their state.
      */
     public void apply(Collection<Endpoint> listed, Deployment deployment, long nowMillis) {
+        notices.listed(listed.stream().map(Endpoint::incarnation).toList(), nowMillis);
         Map<EndpointId, EndpointState> next = new HashMap<>();
         // Endpoints in the first listing after a daemon's start are not new, so they are past their settling time.
         long listedMillis = states.isEmpty() ? nowMillis - EndpointState.SETTLING_MILLIS : nowMillis;
@@ -164,6 +168,30 @@
         endpoints.stream().map(states::get).filter(Objects::nonNull).forEach(state -> state.avoidUntil(untilMillis));
     }
 
+    /**
+     * Records that an endpoint has said that it leaves.
+     */
+    void recordLeaving(EndpointIncarnation endpoint, long nowMillis) {
+        if (notices.recordLeaving(endpoint, nowMillis)) {
+            Event.of("endpoint-leaves")
+                    .with("endpoint", endpoint.endpoint())
+                    .with("born", endpoint.startMillis())
+                    .info(LOGGER);
+        }
+    }
+
+    /**
+     * Records that an endpoint wants nothing of this daemon for a while.
+     */
+    void recordRest(EndpointState state, long restMillis, long nowMillis) {
+        if (notices.recordRest(state.endpoint().incarnation(), restMillis, nowMillis)) {
+            Event.of("endpoint-rests")
+                    .with("endpoint", state.endpoint().id())
+                    .with("millis", restMillis)
+                    .info(LOGGER);
+        }
+    }
+
     Collection<EndpointState> all() {
         return states.values();
     }
