--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -58,6 +58,8 @@
     private final List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
     private final Set<CallerResponse> pending = ConcurrentHashMap.newKeySet();
     private volatile String rateLimit = "";
+    private volatile String restSeconds = "";
+    private volatile boolean saysLeaving;
     private volatile String crashBlock = "";
     private volatile String crashPath = "";
     private volatile long startMillis = 1;
@@ -94,6 +96,22 @@
         rateLimit = perSecond;
     }
 
+    /**
+     * Sets what it states as Retry-After with each refusal for being full.
+     *
+     * @param seconds empty to state nothing
+     */
+    public void rest(String seconds) {
+        restSeconds = seconds;
+    }
+
+    /**
+     * Says in all responses from now on that it leaves, whatever its entry says.
+     */
+    public void sayLeaving() {
+        saysLeaving = true;
+    }
+
     /**
      * Returns when requests have arrived, in milliseconds of the test's clock.
      */
@@ -154,6 +172,7 @@
     public void restart() {
         startMillis++;
         mode = Mode.GOOD;
+        saysLeaving = false;
     }
 
     /**
@@ -211,6 +230,12 @@
         HttpHeaders headers = new DefaultHttpHeaders()
                 .set(Headers.ATTEMPT, String.valueOf(request.headers().get(Headers.ATTEMPT)));
         arrivalMillis.add(TestEventLoop.CLOCK_MILLIS.getAsLong());
+        if (saysLeaving) {
+            headers.set(Headers.LEAVING, 1);
+        }
+        if (mode == Mode.FULL && !restSeconds.isEmpty()) {
+            headers.set(Headers.RETRY_AFTER, restSeconds);
+        }
         if (!rateLimit.isEmpty()) {
             headers.set(Headers.RATE_LIMIT, rateLimit);
         }
