Send no requests to an endpoint that has said in a response that it leaves

Cause: the daemon knew of leaving endpoints by their entries alone. While the store is silent the entry doesn't change.

Change: the header in any response of an endpoint, whatever it answers, makes its incarnation leaving, here and by gossip at all daemons, also while its entry is away. Only a new incarnation ends that. The fleet duty counts it as leaving.

Why it works: all ways to an endpoint choose among those that are not leaving, and the decode send after a prefill asks again.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -48,14 +48,11 @@
 import org.ragwortpitch.edge.traffic.RetryBudgets;
 import org.ragwortpitch.edge.traffic.TrafficContext;
 import org.ragwortpitch.identity.AccountId;
-import org.ragwortpitch.identity.PoolId;
-import org.ragwortpitch.ledger.DaemonIncarnation;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.poison.CrashCause;
 import org.ragwortpitch.poison.EndpointCrash;
 import org.ragwortpitch.resumption.StreamOrigins;
-import org.ragwortpitch.scaling.PoolDemand;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 
 /**
@@ -278,7 +275,9 @@
                 this::stepTraffic, GossipRound.STEP_MILLIS, GossipRound.STEP_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
                 () -> recordUsage(usage.drainEnded(medianMillis())), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
-        trafficLoop.scheduleWithFixedDelay(this::publishSamples, SAMPLE_MILLIS, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
+        TrafficReports reports =
+                new TrafficReports(controlLoop, control, table, demands, gossiper, this::isCutOffAlone, clockMillis);
+        trafficLoop.scheduleWithFixedDelay(reports::publish, SAMPLE_MILLIS, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
         controlLoop.execute(control::start);
         Event started = Event.of("started").with("born", self.startMillis());
         settings.summary().forEach(started::with);
@@ -386,15 +385,7 @@
         controlLoop.execute(() -> control.recordPoison(cause, record));
     }
 
-    private void publishSamples() {
-        Map<PoolId, PoolDemand> sample = demands.sample(table, clockMillis.getAsLong());
-        Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = gossiper.receivedCounts();
-        boolean cutOffAlone =
-                status().isCutOff(table.pools()) && peers.anyInContact(table.pools(), clockMillis.getAsLong());
-        controlLoop.execute(() -> {
-            control.updatePoolDemands(sample);
-            control.updatePeerCounts(peerCounts);
-            control.suspendDuties(cutOffAlone);
-        });
+    private boolean isCutOffAlone() {
+        return status().isCutOff(table.pools()) && peers.anyInContact(table.pools(), clockMillis.getAsLong());
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -20,6 +20,7 @@
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
@@ -79,6 +80,7 @@
     private final DutyRunner duties;
     private Map<PoolId, PoolDemand> poolDemands = Map.of();
     private Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = Map.of();
+    private Set<EndpointIncarnation> saidToLeave = Set.of();
     private Deployment deployment;
     private TopicFollower endpointsFollower;
 
@@ -145,7 +147,9 @@
     }
 
     private void stepEngines(long token, Pool pool, FleetScaler fleetScaler, EngineRoleAssigner roleAssigner) {
-        Collection<Endpoint> listed = endpoints.endpoints();
+        Collection<Endpoint> listed = endpoints.endpoints().stream()
+                .map(engine -> saidToLeave.contains(engine.incarnation()) ? engine.asLeaving() : engine)
+                .toList();
         if (pool.engine().isEmpty()
                 || listed.stream().noneMatch(engine -> engine.pool().equals(pool.id()))) {
             return;
@@ -226,6 +230,13 @@
         peerCounts = counts;
     }
 
+    /**
+     * Replaces the endpoints that have said in responses that they leave, whatever their entries say.
+     */
+    public void updateSaidToLeave(Set<EndpointIncarnation> leaving) {
+        saidToLeave = leaving;
+    }
+
     /**
      * Replaces the measured demand on pools of engines.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -60,7 +60,8 @@
         Map<EndpointId, EndpointState> next = new HashMap<>();
         // Endpoints in the first listing after a daemon's start are not new, so they are past their settling time.
         long listedMillis = states.isEmpty() ? nowMillis - EndpointState.SETTLING_MILLIS : nowMillis;
-        for (Endpoint endpoint : listed) {
+        for (Endpoint entry : listed) {
+            Endpoint endpoint = notices.isLeaving(entry.incarnation()) ? entry.asLeaving() : entry;
             EndpointState known = states.get(endpoint.id());
             if (known != null && known.endpoint().isSameIncarnation(endpoint)) {
                 logChange(known.endpoint(), endpoint);
@@ -169,10 +170,15 @@
     }
 
     /**
-     * Records that an endpoint has said that it leaves.
+     * Records that an endpoint has said, to any daemon, that it leaves. Its incarnation gets no requests from now on,
+     * whatever its entry says.
      */
     void recordLeaving(EndpointIncarnation endpoint, long nowMillis) {
         if (notices.recordLeaving(endpoint, nowMillis)) {
+            EndpointState state = states.get(endpoint.endpoint());
+            if (state != null && state.endpoint().incarnation().equals(endpoint)) {
+                state.updateEndpoint(state.endpoint().asLeaving());
+            }
             Event.of("endpoint-leaves")
                     .with("endpoint", endpoint.endpoint())
                     .with("born", endpoint.startMillis())
@@ -180,6 +186,13 @@
         }
     }
 
+    /**
+     * Returns the endpoints that have said that they leave.
+     */
+    public Set<EndpointIncarnation> saidToLeave() {
+        return notices.leaving();
+    }
+
     /**
      * Records that an endpoint wants nothing of this daemon for a while.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -18,6 +18,7 @@
 import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
 import org.ragwortpitch.wire.generated.GossipProtocol.HeardDaemon;
+import org.ragwortpitch.wire.generated.GossipProtocol.LeavingEndpoint;
 import org.ragwortpitch.wire.generated.GossipProtocol.PoolReading;
 import org.ragwortpitch.wire.generated.GossipProtocol.WindowCount;
 
@@ -128,6 +129,11 @@
                 .setProxyPort(status.proxyPort())
                 .addAllUnreachablePools(status.unreachablePoolNames())
                 .setWallMillis(context.wallMillis().getAsLong());
+        context.endpoints()
+                .saidToLeave()
+                .forEach(endpoint -> gossip.addLeavingEndpoints(LeavingEndpoint.newBuilder()
+                        .setEndpoint(endpoint.endpoint().value())
+                        .setBornMillis(endpoint.startMillis())));
         long nowMillis = context.clockMillis().getAsLong();
         context.poisonRequests()
                 .crashesChangedSince(toldSinceMillis(steps, nowMillis), nowMillis)
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.PrefixBlock;
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
@@ -108,12 +109,17 @@
             onEndpointsChanged.accept(gossip.getEndpointsChanged() - 1);
         }
         long now = context.clockMillis().getAsLong();
-        // Crashes, limits and the origins of streams count whoever reports them, also before the list of daemons is
+        // Crashes, limits, the origins of streams and endpoints that leave count whoever reports them, also before the
+        // list of daemons is
         // read.
         gossip.getCrashedEndpointsList()
                 .forEach(crash -> context.poisonRequests().mergeCrash(EndpointCrashCodec.decode(crash, now), now));
         gossip.getBegunStreamsList().forEach(streams -> StreamOriginCodec.decode(streams, now)
                 .forEach(origin -> context.origins().learn(origin, now)));
+        gossip.getLeavingEndpointsList().forEach(endpoint -> context.endpoints()
+                .recordLeaving(
+                        new EndpointIncarnation(new EndpointId(endpoint.getEndpoint()), endpoint.getBornMillis()),
+                        now));
         boolean direct = gossip.getDigestOf().isEmpty() && peers.isDirect(peer);
         gossip.getLimitsList().forEach(limit -> receiveLimit(limit, direct, now));
         if (!gossip.getDigestOf().isEmpty()) {
--- a/edge/src/test/java/org/ragwortpitch/edge/EndpointNoticeTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EndpointNoticeTest.java
@@ -116,7 +116,7 @@
         }
     }
 
-    /** Guards against DRAIN: an endpoint that has said that it leaves is used again as its entry vanishes and returns. */
+    /** Guards against DRAIN: an endpoint that leaves is used again as its entry vanishes and returns. */
     @Test
     void testEndpointThatLeavesIsNotUsedAgainUnlessItStartsAnew() throws Exception {
         Edge told = daemons.start("front-1");
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -248,6 +248,21 @@
         assertEquals(cut.status, members.get("b2").peers.status(cut.self));
     }
 
+    /** Guards against requests to an endpoint that has told another daemon that it leaves, while the store is away. */
+    @Test
+    void testEndpointThatLeavesIsKnownToAllDaemonsAndToNewOnes() {
+        Member told = members.get("a2");
+        told.endpoints.recordLeaving(told.state().endpoint().incarnation(), nowMillis);
+        advance(SECOND_MILLIS);
+        members.values().forEach(member -> assertTrue(member.state().endpoint().leaving(), member.self.toString()));
+        members.remove("a2");
+        Member started = new Member("b2");
+        members.put("b2", started);
+        started.applyListing();
+        advance(4 * SECOND_MILLIS);
+        assertTrue(started.state().endpoint().leaving());
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
--- a/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
@@ -43,6 +43,14 @@
         return isSameIncarnation(other) && leaving == other.leaving && role == other.role && pool.equals(other.pool);
     }
 
+    /**
+     * Returns this endpoint as one that leaves.
+     */
+    public Endpoint asLeaving() {
+        return new Endpoint(
+                id, pool, address, domain, slots, true, role, startMillis, reclaimable, reclaimedInMillis, version);
+    }
+
     /**
      * Returns the present incarnation.
      */
