Send nothing to an endpoint for as long as it asked for rest

When all endpoints were paused it used them all the same.

It is not told to other daemons: it speaks for this one. If all endpoints rest, requests are refused with the shortest rest.

Why it works: unlike health, which is a preference, a rest is a condition of selection, like the rate limit that an endpoint states.

--- a/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
@@ -11,6 +11,7 @@
 import org.ragwortpitch.edge.traffic.Gossiper;
 import org.ragwortpitch.edge.traffic.PoolDemands;
 import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
 import org.ragwortpitch.scaling.PoolDemand;
@@ -37,9 +38,11 @@
         Map<PoolId, PoolDemand> sample = demands.sample(table, clockMillis.getAsLong());
         Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = gossiper.receivedCounts();
         Set<EndpointIncarnation> saidToLeave = table.saidToLeave();
+        Set<EndpointId> resting = table.resting(clockMillis.getAsLong());
         boolean suspendDuties = cutOffAlone.getAsBoolean();
         controlLoop.execute(() -> {
             control.updateSaidToLeave(saidToLeave);
+            control.updateResting(resting);
             control.updatePoolDemands(sample);
             control.updatePeerCounts(peerCounts);
             control.suspendDuties(suspendDuties);
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -25,6 +25,7 @@
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.identity.AccountId;
+import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
@@ -81,6 +82,7 @@
     private Map<PoolId, PoolDemand> poolDemands = Map.of();
     private Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = Map.of();
     private Set<EndpointIncarnation> saidToLeave = Set.of();
+    private Set<EndpointId> resting = Set.of();
     private Deployment deployment;
     private TopicFollower endpointsFollower;
 
@@ -157,7 +159,7 @@
         PoolDemand demand = poolDemands.getOrDefault(pool.id(), new PoolDemand(0, 0));
         pool.scaling().ifPresent(spec -> {
             fleetScaler.step(token, pool.id(), spec, listed, demand).ifPresent(count -> {
-                roleAssigner.step(token, pool.id(), pool.engine().get(), listed, count.decodeEngines());
+                roleAssigner.step(token, pool.id(), pool.engine().get(), listed, resting, count.decodeEngines());
                 listener.onRoleChanges(roleAssigner.changing());
             });
         });
@@ -237,6 +239,13 @@
         saidToLeave = leaving;
     }
 
+    /**
+     * Replaces the endpoints that want nothing of this daemon now.
+     */
+    public void updateResting(Set<EndpointId> now) {
+        resting = now;
+    }
+
     /**
      * Replaces the measured demand on pools of engines.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/EngineRoleAssigner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EngineRoleAssigner.java
@@ -58,9 +58,16 @@
     /**
      * Orders engines of a pool to switch roles where the plan differs from their current ones.
      *
+     * @param resting       engines that want nothing of this daemon now
      * @param decodeEngines how many engines have to decode
      */
-    void step(long fencingToken, PoolId pool, EngineSpec spec, Collection<Endpoint> endpoints, int decodeEngines) {
+    void step(
+            long fencingToken,
+            PoolId pool,
+            EngineSpec spec,
+            Collection<Endpoint> endpoints,
+            Set<EndpointId> resting,
+            int decodeEngines) {
         long now = clockMillis.getAsLong();
         blockedUntilMillis.values().removeIf(until -> until <= now);
         changingUntilMillis.values().removeIf(until -> until <= now);
@@ -79,7 +86,8 @@
                 .entrySet()) {
             Endpoint engine = change.getKey();
             boolean mustKeepDecoding = change.getValue() == EndpointRole.PREFILL && decoding <= decodeEngines;
-            if (!blockedUntilMillis.containsKey(engine.id()) && !mustKeepDecoding) {
+            boolean mayOrder = !blockedUntilMillis.containsKey(engine.id()) && !resting.contains(engine.id());
+            if (mayOrder && !mustKeepDecoding) {
                 decoding -= change.getValue() == EndpointRole.PREFILL ? 1 : 0;
                 order(fencingToken, engine, change.getValue(), spec.roleSwitchMillis(), now);
             }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -115,7 +115,7 @@
      * @param excluded endpoints that the request has already tried
      */
     List<EndpointState> usable(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
-        List<EndpointState> staying = available(pool, excluded);
+        List<EndpointState> staying = available(pool, excluded, nowMillis);
         List<EndpointState> healthy = staying.stream()
                 .filter(state -> state.health().isUsable(nowMillis)
                         && !state.isAvoided(nowMillis)
@@ -125,10 +125,30 @@
     }
 
     /**
-     * Returns the endpoints of a pool that are not leaving and not at their rate limit, whatever their health.
+     * Returns the endpoints of a pool that are not leaving, not resting and not at their rate limit, whatever their
+     * health.
      */
-    List<EndpointState> available(PoolId pool, Set<EndpointId> excluded) {
-        return notLeaving(pool, excluded).stream().filter(permits::isOpen).toList();
+    List<EndpointState> available(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
+        return notLeaving(pool, excluded).stream()
+                .filter(state -> !isResting(state, nowMillis) && permits.isOpen(state))
+                .toList();
+    }
+
+    /**
+     * Returns whether an endpoint wants nothing of this daemon now.
+     */
+    boolean isResting(EndpointState state, long nowMillis) {
+        return notices.restMillis(state.endpoint().incarnation(), nowMillis) > 0;
+    }
+
+    /**
+     * Returns the endpoints that want nothing of this daemon now.
+     */
+    public Set<EndpointId> resting(long nowMillis) {
+        return states.values().stream()
+                .filter(state -> isResting(state, nowMillis))
+                .map(state -> state.endpoint().id())
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
@@ -139,16 +159,22 @@
     }
 
     /**
-     * Returns the Retry-After of a request for which the pool has no endpoint: the time in which its endpoints together
-     * take another request under their rate limits.
+     * Returns the Retry-After of a request for which the pool has no endpoint: the time until the first of them takes
+     * requests again if all rest, otherwise that in which they together take another one under their rate limits.
      *
-     * @param minMillis returned if no endpoint has a limit, and at least, in milliseconds
+     * @param minMillis returned if no endpoint rests or has a limit, and at least, in milliseconds
      */
-    long retryAfterMillis(PoolId pool, long minMillis) {
-        double perSecond = notLeaving(pool, Set.of()).stream()
+    long retryAfterMillis(PoolId pool, long minMillis, long nowMillis) {
+        List<EndpointState> staying = notLeaving(pool, Set.of());
+        long restMillis = staying.stream()
+                .mapToLong(state -> notices.restMillis(state.endpoint().incarnation(), nowMillis))
+                .min()
+                .orElse(0);
+        double perSecond = staying.stream()
                 .mapToDouble(state -> state.pacer().limit().orElse(0))
                 .sum();
-        return perSecond == 0 ? minMillis : Math.max(minMillis, (long) (MILLIS_PER_SECOND / perSecond));
+        long limitMillis = perSecond == 0 ? 0 : (long) (MILLIS_PER_SECOND / perSecond);
+        return Math.max(minMillis, Math.max(restMillis, limitMillis));
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -26,7 +26,7 @@
      */
     Optional<Placement> place(Optional<SoftwareVersion> version, Set<EndpointId> tried, long nowMillis) {
         return choose(version, endpoints.usable(pool, tried, nowMillis))
-                .or(() -> choose(version, endpoints.available(pool, tried)));
+                .or(() -> choose(version, endpoints.available(pool, tried, nowMillis)));
     }
 
     private Optional<Placement> choose(Optional<SoftwareVersion> version, List<EndpointState> candidates) {
@@ -55,7 +55,7 @@
     Optional<EndpointState> leastLoadedDecoder(
             Optional<SoftwareVersion> version, Set<EndpointId> tried, long nowMillis) {
         return leastLoadedDecoder(version, endpoints.usable(pool, tried, nowMillis))
-                .or(() -> leastLoadedDecoder(version, endpoints.available(pool, tried)));
+                .or(() -> leastLoadedDecoder(version, endpoints.available(pool, tried, nowMillis)));
     }
 
     private static boolean isDecoder(EndpointState state) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -79,7 +79,8 @@
         this.resumption = new StreamResumption(context, exchange, pool, lastEventId);
         this.log = new GenerationLog(
                 exchange.attemptId(), event -> context.retryBudgets().describe(event, pool, now()));
-        this.kvCache = new TransferredKvCache(caller, exchange.attemptId());
+        this.kvCache = new TransferredKvCache(
+                caller, exchange.attemptId(), engine -> context.endpoints().isResting(engine, now()));
         CallerPatience patience = CallerPatience.of(exchange.route());
         this.checks = new GenerationChecks(exchange, patience);
         this.stallDetector = new StallDetector(context, patience.stallMillis(), this::onStall);
@@ -115,7 +116,7 @@
                     executions > 0,
                     resumption.version().filter(version -> !engines.hasDecoder(version)),
                     context.endpoints().notLeaving(pool, tried).size(),
-                    context.endpoints().retryAfterMillis(pool, GenerationChecks.RETRY_AFTER_MILLIS));
+                    context.endpoints().retryAfterMillis(pool, GenerationChecks.RETRY_AFTER_MILLIS, now));
             return;
         }
         placement = choice.get();
@@ -193,9 +194,9 @@
         }
         EngineState decodeEngine = placement.decodeEngine();
         EndpointState state = context.endpoints().find(decodeEngine.endpoint().id());
-        if (state == null || state.endpoint().leaving()) {
+        if (state == null || state.endpoint().leaving() || context.endpoints().isResting(state, now)) {
             tried.add(decodeEngine.endpoint().id());
-            transferOrRetry("the decode engine is leaving");
+            transferOrRetry("the decode engine is leaving or asked for rest");
             return;
         }
         int uncached = kvCache.isAvailable() ? 1 : EngineEstimate.uncachedTokens(decodeEngine, generation);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -145,10 +145,10 @@
         if (choice.isEmpty()) {
             exchange.failOrRefuse(
                     executions > 0,
-                    context.endpoints().retryAfterMillis(pool, RETRY_AFTER_MILLIS),
+                    context.endpoints().retryAfterMillis(pool, RETRY_AFTER_MILLIS, now),
                     tried.isEmpty()
-                            ? "no endpoint of the pool is available: none is listed, or all are leaving or at the rate"
-                                    + " limit that they state; retry later"
+                            ? "no endpoint of the pool is available: none is listed, or all are leaving, asked for"
+                                    + " rest or are at the rate limit that they state; retry later"
                             : "every available endpoint of the pool was already tried");
             return;
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TransferredKvCache.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TransferredKvCache.java
@@ -1,5 +1,6 @@
 package org.ragwortpitch.edge.traffic;
 
+import java.util.function.Predicate;
 import org.ragwortpitch.adapter.EngineCodec;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.logging.Event;
@@ -16,16 +17,23 @@
 
     private final BufferingHttpCaller caller;
     private final String attemptId;
-    private String address = "";
+    private final Predicate<EndpointState> isResting;
+    private EndpointState engine;
     private String handle = "";
 
-    TransferredKvCache(BufferingHttpCaller caller, String attemptId) {
+    /**
+     * Creates a cache that does not exist yet.
+     *
+     * @param isResting returns whether an engine wants nothing of this daemon now
+     */
+    TransferredKvCache(BufferingHttpCaller caller, String attemptId, Predicate<EndpointState> isResting) {
         this.caller = caller;
         this.attemptId = attemptId;
+        this.isResting = isResting;
     }
 
     void recordPrefill(EndpointState prefillEngine, String newHandle) {
-        address = prefillEngine.endpoint().address();
+        engine = prefillEngine;
         handle = newHandle;
     }
 
@@ -37,7 +45,7 @@
      * Returns the header value that names the engine and the handle to the engine that takes the KV cache over.
      */
     String source() {
-        return EngineCodec.kvSource(address, handle);
+        return EngineCodec.kvSource(engine.endpoint().address(), handle);
     }
 
     /**
@@ -48,7 +56,8 @@
     }
 
     /**
-     * Asks the prefill engine to free the KV cache unless it was taken over; a failure is only logged.
+     * Asks the prefill engine to free the KV cache unless it was taken over; a failure is only logged. An engine that
+     * wants nothing now frees it by itself after a while.
      */
     void free() {
         if (!isAvailable()) {
@@ -56,10 +65,17 @@
         }
         String freed = handle;
         handle = "";
-        caller.call(address, EngineCodec.freeHandle(freed), FREE_TIMEOUT_MILLIS, response -> {}, failure -> Event.of(
-                        "free-failed")
-                .with("request", attemptId)
-                .with("reason", failure.reason())
-                .info(LOGGER));
+        if (isResting.test(engine)) {
+            return;
+        }
+        caller.call(
+                engine.endpoint().address(),
+                EngineCodec.freeHandle(freed),
+                FREE_TIMEOUT_MILLIS,
+                response -> {},
+                failure -> Event.of("free-failed")
+                        .with("request", attemptId)
+                        .with("reason", failure.reason())
+                        .info(LOGGER));
     }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/EndpointNoticeTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EndpointNoticeTest.java
@@ -5,6 +5,7 @@
 
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -156,13 +157,14 @@
     void testEndpointThatAsksForRestGetsNoRequests(String seconds) throws Exception {
         Edge edge = daemons.start("front-1");
         send(edge, REST_NOTICED_MILLIS);
-        for (StandinEndpoint endpoint : firstOfEachKind()) {
+        List<StandinEndpoint> resting = List.of(busiest(services), busiest(decoders), busiest(prefillers));
+        for (StandinEndpoint endpoint : resting) {
             endpoint.rest(seconds);
             endpoint.mode(StandinEndpoint.Mode.FULL);
         }
         long from = now();
         send(edge, 2 * REST_MILLIS);
-        for (StandinEndpoint endpoint : firstOfEachKind()) {
+        for (StandinEndpoint endpoint : resting) {
             long asked = endpoint.arrivalMillis().stream()
                     .filter(at -> at >= from)
                     .findFirst()
@@ -172,6 +174,12 @@
         }
     }
 
+    private static StandinEndpoint busiest(List<StandinEndpoint> endpoints) {
+        return endpoints.stream()
+                .max(Comparator.comparing(endpoint -> endpoint.arrivalMillis().size()))
+                .orElseThrow();
+    }
+
     /** Guards against BUDGET where no other endpoint is left, and against requests that wait for the rest's end. */
     @Test
     void testRequestsAreRefusedAtOnceIfAllEndpointsRest() throws Exception {
