Show that streams aren't joined from two versions after all daemons have started again

The test begins streams at two versions, starts the only daemon again, with the engines of one version still listed and with them gone, and takes up all streams: none is joined.

--- a/edge/src/test/java/org/ragwortpitch/edge/StreamVersionTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StreamVersionTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
@@ -249,6 +251,24 @@
         resumeAll(daemons.start("front-2"), begun);
     }
 
+    /**
+     * Guards against streams joined from two versions after all daemons have started again, while the version that
+     * began them is still listed, and when its engines are gone from the list.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void testStreamsAreNotJoinedAfterAllDaemonsHaveStartedAgain(boolean gone) throws Exception {
+        Edge before = daemons.start("front-1");
+        Thread.sleep(CONTACT_MILLIS);
+        Map<String, Map<Integer, String>> begun = begin(before);
+        before.close();
+        if (gone) {
+            store.put("keyed.servers", "servers/i-1", "");
+            store.put("keyed.servers", "servers/i-2", "");
+        }
+        resumeAll(daemons.startAgain("front-1"), begun);
+    }
+
     /** Shows that streams of unknown origin go on as long as all engines have the same version. */
     @Test
     void testStreamOfUnknownOriginGoesOnBeforeOneVersion() throws Exception {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
@@ -15,21 +15,28 @@
     private Settings() {}
 
     public static InstanceSettings of(String instance, StandinStore store, long windowMillis, long lateMillis) {
-        return of(instance, store.address(), bounds(0.2, 50, windowMillis, lateMillis));
+        return of(instance, store.address(), bounds(0.2, 50, windowMillis, lateMillis), true);
     }
 
     /**
      * Returns settings of a daemon that uses one of the addresses of a store.
      */
     public static InstanceSettings at(String instance, String storeAddress) {
-        return of(instance, storeAddress, bounds(0.2, 50, 2_000, 5_000));
+        return of(instance, storeAddress, bounds(0.2, 50, 2_000, 5_000), true);
+    }
+
+    /**
+     * Returns settings of a daemon whose fleet has started before.
+     */
+    public static InstanceSettings again(String instance, String storeAddress) {
+        return of(instance, storeAddress, bounds(0.2, 50, 2_000, 5_000), false);
     }
 
     /**
      * Returns settings under which no request may be sent more than once.
      */
     public static InstanceSettings withoutRetryBudget(String instance, StandinStore store) {
-        return of(instance, store.address(), bounds(0, 0, 300, 1_000));
+        return of(instance, store.address(), bounds(0, 0, 300, 1_000), true);
     }
 
     private static InstanceSettings.Bounds bounds(
@@ -38,7 +45,8 @@
                 3_000, 2_000, 8_000, retryRatio, retrySlack, 10_000, true, 300, windowMillis, lateMillis, 5);
     }
 
-    private static InstanceSettings of(String instance, String storeAddress, InstanceSettings.Bounds bounds) {
+    private static InstanceSettings of(
+            String instance, String storeAddress, InstanceSettings.Bounds bounds, boolean firstStart) {
         return new InstanceSettings(
                 new InstanceId(instance),
                 new FailureDomain("a"),
@@ -47,7 +55,7 @@
                 ANY_PORT,
                 ANY_PORT,
                 0,
-                true,
+                firstStart,
                 1_000,
                 storeAddress,
                 Optional.of(storeAddress),
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.adapter.InstanceSettings;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.Edge;
 
@@ -44,12 +45,22 @@
         return startAt(instance, store.address());
     }
 
+    /**
+     * Starts a daemon of a fleet that has started before, and waits until it is ready.
+     */
+    public Edge startAgain(String instance) throws Exception {
+        return start(Settings.again(instance, store.address()));
+    }
+
     /**
      * Starts a daemon that uses one of the addresses of the store, and waits until it is ready.
      */
     public Edge startAt(String instance, String storeAddress) throws Exception {
-        Edge edge = closer.add(new Edge(
-                Settings.at(instance, storeAddress), 0, TestEventLoop.CLOCK_MILLIS, System::currentTimeMillis));
+        return start(Settings.at(instance, storeAddress));
+    }
+
+    private Edge start(InstanceSettings settings) throws Exception {
+        Edge edge = closer.add(new Edge(settings, 0, TestEventLoop.CLOCK_MILLIS, System::currentTimeMillis));
         edge.start();
         URI readiness = URI.create("http://127.0.0.1:" + edge.readyAddress().getPort() + "/readiness");
         await(() -> client.send(HttpRequest.newBuilder(readiness).build(), HttpResponse.BodyHandlers.ofString())
