--- a/soak/src/test/java/org/ragwortpitch/soak/FaultSource.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/FaultSource.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
+import org.ragwortpitch.edge.standin.PartitionableLink;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.standin.LinkFault;
 
@@ -25,10 +26,12 @@
     private static final List<LinkFault> LINK_FAULTS = List.of(LinkFault.CUT, LinkFault.SILENT, LinkFault.ANSWERS_LOST);
 
     private final Random random;
+    private final Random partitions;
     private final SoakWorld world;
 
     FaultSource(long seed, SoakWorld world) {
         this.random = new Random(seed);
+        this.partitions = new Random(~seed);
         this.world = world;
     }
 
@@ -66,6 +69,21 @@
         };
     }
 
+    /**
+     * Draws a partition of one daemon from all endpoints. Drawn from a source of its own, so that seeds that are known
+     * to have failed keep their other faults.
+     */
+    Fault partition() {
+        DaemonUnderTest daemon =
+                world.daemons().get(partitions.nextInt(world.daemons().size()));
+        PartitionableLink.Partition kind = PartitionableLink.Partition.values()[partitions.nextInt(3)];
+        return new Fault(
+                kind + " from " + daemon.name() + " to all endpoints",
+                () -> world.partition(daemon, kind),
+                () -> world.heal(daemon),
+                MIN_FAULT_MILLIS + partitions.nextInt(2 * MAX_FAULT_MILLIS));
+    }
+
     private Fault restart(DaemonUnderTest daemon) {
         return new Fault("stop " + daemon.name(), daemon::stop, daemon::start, MIN_FAULT_MILLIS);
     }
--- a/soak/src/test/java/org/ragwortpitch/soak/SoakTest.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/SoakTest.java
@@ -29,6 +29,9 @@
 
     private static final long FAULTS_MILLIS = 10_000;
 
+    /** When a daemon is partitioned from all endpoints, in milliseconds. */
+    private static final long PARTITION_MILLIS = 1_500;
+
     /** Required recovery time after the last fault, in milliseconds; the users' documentation demands it. */
     private static final long RECOVERY_MILLIS = 12_000;
 
@@ -85,6 +88,10 @@
     private void injectFaults(FaultSource source, boolean planned) throws InterruptedException {
         ScheduledExecutorService clock = Executors.newScheduledThreadPool(CALLERS);
         long startMillis = System.currentTimeMillis();
+        if (!planned) {
+            clock.schedule(
+                    () -> begin(source.partition(), clock, startMillis), PARTITION_MILLIS, TimeUnit.MILLISECONDS);
+        }
         long atMillis = 0;
         while (atMillis < FAULTS_MILLIS) {
             FaultSource.Fault fault = planned ? source.planned() : source.anyFault();
--- a/soak/src/test/java/org/ragwortpitch/soak/SoakWorld.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/SoakWorld.java
@@ -1,20 +1,24 @@
 package org.ragwortpitch.soak;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.edge.standin.PartitionableLink;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
 import org.ragwortpitch.standin.FaultProxy;
 
 /**
  * A system under test: three daemons in three failure domains, the store, two plain endpoints and three engines. A
- * fault proxy stands on the link from each daemon to the store and on the link to each endpoint.
+ * fault proxy stands on the link from each daemon to the store and on the link to each endpoint, and each daemon has
+ * paths of its own to the endpoints.
  */
 final class SoakWorld implements AutoCloseable {
 
@@ -49,6 +53,7 @@
     private final StandinStore store = closer.add(new StandinStore());
     private final Map<StandinEndpoint, FaultProxy> endpoints = new LinkedHashMap<>();
     private final Map<StandinEndpoint, String[]> roles = new LinkedHashMap<>();
+    private final Map<DaemonUnderTest, List<PartitionableLink>> endpointPaths = new HashMap<>();
     private final List<DaemonUnderTest> daemons = new ArrayList<>();
     private int version;
 
@@ -64,12 +69,20 @@
         long run = ProcessHandle.current().pid() * 31 + seed;
         String network = "127." + (1 + run / NETWORKS % NETWORKS) + "." + run % NETWORKS + ".";
         for (int daemon = 1; daemon <= DAEMONS; daemon++) {
-            int storePort = Integer.parseInt(store.address().replaceAll(".*:", ""));
+            List<PartitionableLink> paths = new ArrayList<>();
+            Map<Integer, Integer> ports = new HashMap<>();
+            for (FaultProxy endpoint : endpoints.values()) {
+                PartitionableLink path = closer.add(new PartitionableLink(endpoint.port()));
+                paths.add(path);
+                ports.put(endpoint.port(), path.port());
+            }
+            int storePort = Integer.parseInt(store.addressWithPorts(ports).replaceAll(".*:", ""));
             FaultProxy link = new FaultProxy(() -> storePort);
             String main = (daemon == DAEMONS ? SkewedMain.class.getName() : "org.ragwortpitch.edge.Main");
             DaemonUnderTest added = closer.add(
                     new DaemonUnderTest(directory, "front-" + daemon, network + daemon, "zone-" + daemon, link, main));
             daemons.add(added);
+            endpointPaths.put(added, paths);
             added.start();
         }
     }
@@ -112,6 +125,31 @@
         return endpoints.get(endpoint);
     }
 
+    /** Cuts a daemon off from all endpoints. */
+    void partition(DaemonUnderTest daemon, PartitionableLink.Partition kind) {
+        endpointPaths.get(daemon).forEach(path -> attempt(() -> path.partition(kind)));
+    }
+
+    /** Ends {@link #partition}. */
+    void heal(DaemonUnderTest daemon) {
+        endpointPaths.get(daemon).forEach(path -> attempt(path::heal));
+    }
+
+    private static void attempt(LinkChange change) {
+        try {
+            change.apply();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** A change of a link. */
+    @FunctionalInterface
+    private interface LinkChange {
+
+        void apply() throws IOException;
+    }
+
     List<DaemonUnderTest> daemons() {
         return daemons;
     }
