Look for a daemon to proxy a request only while contact is lost

Found on reading the change: each request looked through the peers although contact is rarely lost, and a header in the response of an endpoint could have passed for a daemon that declines. The peers are looked through only while contact is lost; a sealed response declines nothing.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -190,10 +190,9 @@
             return refuseStopping(attemptId, response, hop.isPresent());
         }
         PoolId pool = route.choosePool(attemptId.hashCode());
-        ServingPlan plan = ServingPlan.of(
-                context.contacts().isLost(pool),
-                hop.isPresent(),
-                context.proxies().isAvailable(pool));
+        boolean lost = context.contacts().isLost(pool);
+        ServingPlan plan =
+                ServingPlan.of(lost, hop.isPresent(), lost && context.proxies().isAvailable(pool));
         if (plan == ServingPlan.NOBODY) {
             return refuseOutOfReach(attemptId, response, pool, hop.isPresent());
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
@@ -41,6 +41,8 @@
 
     private static final int BAD_GATEWAY = 502;
 
+    private static final int UNAVAILABLE = 503;
+
     private static final int GATEWAY_TIMEOUT = 504;
 
     private final TrafficContext context;
@@ -156,7 +158,7 @@
         if (exchange.isDone()) {
             return;
         }
-        if (headers.contains(ProxyHop.DECLINED)) {
+        if (isDeclined()) {
             body.clear();
             passOn();
         } else if (streaming && framed) {
@@ -188,6 +190,13 @@
         finish();
     }
 
+    /**
+     * Returns whether the daemon declined the request. The response of an endpoint, which is sealed, declines nothing.
+     */
+    private boolean isDeclined() {
+        return status == UNAVAILABLE && headers.contains(ProxyHop.DECLINED) && !headers.contains(Headers.SEAL);
+    }
+
     private void onDeadline() {
         exchange.fail(GATEWAY_TIMEOUT, "no response within the deadline of the request and the timeout of the route");
     }
