Have the tests of endpoints' notices watch endpoints that are asked

Traced: a daemon without load keeps to one of two equal endpoints, so that the other says nothing; the bound was not reached. The tests now take the endpoint of each kind that is asked most, and wait until each has said that it leaves; the bounds are the same.

--- a/edge/src/test/java/org/ragwortpitch/edge/EndpointNoticeTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EndpointNoticeTest.java
@@ -75,8 +75,26 @@
         closer.close();
     }
 
-    private List<StandinEndpoint> firstOfEachKind() {
-        return List.of(services.get(0), decoders.get(0), prefillers.get(0));
+    /** Returns the endpoint of each kind that a daemon sends most requests to; it may send none to another. */
+    private List<StandinEndpoint> busiestOfEachKind(Edge edge) throws InterruptedException {
+        send(edge, REST_NOTICED_MILLIS);
+        return List.of(busiest(services), busiest(decoders), busiest(prefillers));
+    }
+
+    private static StandinEndpoint busiest(List<StandinEndpoint> endpoints) {
+        return endpoints.stream()
+                .max(Comparator.comparing(endpoint -> endpoint.arrivalMillis().size()))
+                .orElseThrow();
+    }
+
+    /** Has endpoints say in all responses that they leave, and waits until each has said so to a daemon. */
+    private void sayLeaving(List<StandinEndpoint> endpoints, Edge told) throws Exception {
+        endpoints.forEach(StandinEndpoint::sayLeaving);
+        long from = now();
+        TestDaemons.await(() -> {
+            send(told, PAUSE_MILLIS);
+            return endpoints.stream().allMatch(endpoint -> arrivals(endpoint, from, now()) > 0);
+        });
     }
 
     /** Sends plain requests and generations in turn for a while. */
@@ -106,13 +124,13 @@
     void testEndpointThatSaysThatItLeavesGetsNoRequests() throws Exception {
         Edge told = daemons.start("front-1");
         Edge other = daemons.start("front-2");
-        firstOfEachKind().forEach(StandinEndpoint::sayLeaving);
+        List<StandinEndpoint> leaving = busiestOfEachKind(told);
+        sayLeaving(leaving, told);
         send(told, DRAIN_MILLIS);
         long from = now();
         send(told, DRAIN_MILLIS);
         send(other, DRAIN_MILLIS);
-        for (StandinEndpoint endpoint : firstOfEachKind()) {
-            assertTrue(arrivals(endpoint, 0, from) > 0);
+        for (StandinEndpoint endpoint : leaving) {
             assertEquals(0, arrivals(endpoint, from, now()));
         }
     }
@@ -121,10 +139,9 @@
     @Test
     void testEndpointThatLeavesIsNotUsedAgainUnlessItStartsAnew() throws Exception {
         Edge told = daemons.start("front-1");
-        StandinEndpoint leaving = services.get(0);
-        leaving.sayLeaving();
-        send(told, DRAIN_MILLIS);
-        store.put("keyed.servers", "servers/a-1", "");
+        StandinEndpoint leaving = busiestOfEachKind(told).get(0);
+        sayLeaving(List.of(leaving), told);
+        store.put("keyed.servers", "servers/" + leaving.id(), "");
         send(told, DRAIN_MILLIS);
         leaving.list(store, "app", "", "ready");
         long from = now();
@@ -156,8 +173,7 @@
     @ValueSource(strings = {"3", "3.0"})
     void testEndpointThatAsksForRestGetsNoRequests(String seconds) throws Exception {
         Edge edge = daemons.start("front-1");
-        send(edge, REST_NOTICED_MILLIS);
-        List<StandinEndpoint> resting = List.of(busiest(services), busiest(decoders), busiest(prefillers));
+        List<StandinEndpoint> resting = busiestOfEachKind(edge);
         for (StandinEndpoint endpoint : resting) {
             endpoint.rest(seconds);
             endpoint.mode(StandinEndpoint.Mode.FULL);
@@ -174,12 +190,6 @@
         }
     }
 
-    private static StandinEndpoint busiest(List<StandinEndpoint> endpoints) {
-        return endpoints.stream()
-                .max(Comparator.comparing(endpoint -> endpoint.arrivalMillis().size()))
-                .orElseThrow();
-    }
-
     /** Guards against BUDGET where no other endpoint is left, and against requests that wait for the rest's end. */
     @Test
     void testRequestsAreRefusedAtOnceIfAllEndpointsRest() throws Exception {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -76,6 +76,10 @@
                 TestEventLoop.CLOCK_MILLIS);
     }
 
+    public String id() {
+        return id;
+    }
+
     public void mode(Mode newMode) {
         mode = newMode;
     }
