Check contact with pools in one pass over the endpoints, ten times a second

Cause: the check filtered all endpoints for each pool twenty times a second, whether anything waited or not.

Change: one pass finds the pools that have requests under way; only pools whose contact is in doubt look at their endpoints. Contact is checked every 100 ms.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -77,6 +77,9 @@
     /** Fraction of the grace period after which the process ends, even with requests in progress. */
     private static final double EXIT_FRACTION = 0.93;
 
+    /** Contact with pools is checked every so many steps of gossip, that is, every 100 ms. */
+    private static final int STEPS_BETWEEN_CONTACT_CHECKS = 2;
+
     private static final int OK = 200;
 
     private static final int UNAVAILABLE = 503;
@@ -110,6 +113,7 @@
     private final Gossiper gossiper;
     private final StoreUpdates storeUpdates;
     private volatile InstanceSettings.Bounds bounds;
+    private long gossipStep;
 
     /**
      * Creates a daemon whose servers are listening; {@link #start} begins to follow the store and to gossip.
@@ -174,7 +178,10 @@
     }
 
     private void stepTraffic() {
-        contacts.check();
+        gossipStep++;
+        if (gossipStep % STEPS_BETWEEN_CONTACT_CHECKS == 0) {
+            contacts.check();
+        }
         gossiper.sendRound();
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
@@ -2,9 +2,9 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.lang.System.Logger;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +44,7 @@
     private final LongSupplier wallMillis;
     private final Map<PoolId, PoolContact> contacts = new HashMap<>();
     private final Map<PoolId, Long> lostMillis = new HashMap<>();
+    private final List<PoolId> due = new ArrayList<>();
     private final Map<PoolId, Set<Runnable>> lossListeners = new HashMap<>();
 
     /**
@@ -127,17 +128,19 @@
      * Advances the contact with each pool to the present time. Called periodically.
      */
     public void check() {
-        Set<PoolId> pools = new HashSet<>(contacts.keySet());
-        pools.addAll(endpoints.get().pools());
-        pools.forEach(this::check);
+        long now = now();
+        Set<PoolId> waiting = endpoints.get().poolsWithRequests();
+        waiting.forEach(this::contact);
+        contacts.forEach((pool, contact) -> {
+            if (contact.isDue(waiting.contains(pool), now)) {
+                due.add(pool);
+            }
+        });
+        due.forEach(pool -> advance(pool, waiting.contains(pool), now));
+        due.clear();
     }
 
-    private void check(PoolId pool) {
-        long now = now();
-        boolean waiting = endpoints.get().running(pool) > 0;
-        if (!contact(pool).isDue(waiting, now)) {
-            return;
-        }
+    private void advance(PoolId pool, boolean waiting, long now) {
         List<EndpointState> staying = endpoints.get().notLeaving(pool, Set.of()).stream()
                 .sorted(Comparator.comparing(state -> !state.health().isUsable(now)))
                 .toList();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -268,6 +268,20 @@
                 .sum();
     }
 
+    /**
+     * Returns the pools whose endpoints are executing or have yet to answer requests of this daemon. Called several
+     * times a second.
+     */
+    Set<PoolId> poolsWithRequests() {
+        Set<PoolId> pools = new HashSet<>();
+        for (EndpointState state : states.values()) {
+            if (state.running() > 0) {
+                pools.add(state.endpoint().pool());
+            }
+        }
+        return pools;
+    }
+
     /**
      * Returns the state of an endpoint; null if it is not listed.
      */
