Refuse odd entries of other writers one by one, and keep following the store whatever they hold

cause: numbers were cast, addresses matched by their form only, and ids taken as they came, so that entries got through that fail later, on the traffic thread or in a periodic task; an event loop drops a periodic task silently after its first exception, and a follower scheduled its next read behind what a listener did change: ranges, exactness, addresses and depth are checked in the codecs, Endpoint refuses what can't be connected to; one odd entry costs that entry alone and is logged once a key and reason (OddEntries); FaultBarrier around each record, periodic task and handler of a response.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -34,6 +34,7 @@
 import org.ragwortpitch.edge.peer.GossipSocket;
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.edge.traffic.AccountRateLimits;
 import org.ragwortpitch.edge.traffic.EndpointContacts;
 import org.ragwortpitch.edge.traffic.EndpointCrashCodec;
@@ -279,12 +280,22 @@
      */
     public void start() {
         trafficLoop.scheduleWithFixedDelay(
-                this::stepTraffic, GossipRound.STEP_MILLIS, GossipRound.STEP_MILLIS, TimeUnit.MILLISECONDS);
+                FaultBarrier.around("gossip", this::stepTraffic),
+                GossipRound.STEP_MILLIS,
+                GossipRound.STEP_MILLIS,
+                TimeUnit.MILLISECONDS);
         trafficLoop.scheduleWithFixedDelay(
-                () -> recordUsage(usage.drainEnded(medianMillis())), USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
+                FaultBarrier.around("count usage", () -> recordUsage(usage.drainEnded(medianMillis()))),
+                USAGE_MILLIS,
+                USAGE_MILLIS,
+                TimeUnit.MILLISECONDS);
         TrafficReports reports =
                 new TrafficReports(controlLoop, control, table, demands, gossiper, this::isCutOffAlone, clockMillis);
-        trafficLoop.scheduleWithFixedDelay(reports::publish, SAMPLE_MILLIS, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
+        trafficLoop.scheduleWithFixedDelay(
+                FaultBarrier.around("report traffic", reports::publish),
+                SAMPLE_MILLIS,
+                SAMPLE_MILLIS,
+                TimeUnit.MILLISECONDS);
         controlLoop.execute(control::start);
         Event started = Event.of("started").with("born", self.startMillis());
         settings.summary().forEach(started::with);
@@ -362,12 +373,13 @@
     }
 
     /**
-     * Runs an action periodically on the control thread.
+     * Checks the settings periodically on the control thread.
      *
-     * @param millis pause between runs, in milliseconds
+     * @param millis pause between checks, in milliseconds
      */
-    public void scheduleEvery(long millis, Runnable action) {
-        controlLoop.scheduleWithFixedDelay(action, millis, millis, TimeUnit.MILLISECONDS);
+    public void checkSettingsEvery(long millis, Runnable action) {
+        controlLoop.scheduleWithFixedDelay(
+                FaultBarrier.around("check settings", action), millis, millis, TimeUnit.MILLISECONDS);
     }
 
     private boolean isReady() {
--- a/edge/src/main/java/org/ragwortpitch/edge/Main.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Main.java
@@ -47,7 +47,7 @@
             edge.start();
             SettingsFileWatcher watcher = new SettingsFileWatcher(Path.of(file), edge::reload);
             watcher.installHangUpHandler();
-            edge.scheduleEvery(SETTINGS_CHECK_MILLIS, watcher::check);
+            edge.checkSettingsEvery(SETTINGS_CHECK_MILLIS, watcher::check);
         } catch (IOException exception) {
             System.err.println(file + " can't be read: " + exception.getMessage());
             System.exit(INVALID_SETTINGS_STATUS);
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -24,6 +24,7 @@
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
+import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.InstanceId;
@@ -76,6 +77,8 @@
     private final ControlListener listener;
     private final StoreClient store;
     private final EndpointRegistry endpoints = new EndpointRegistry();
+    private final FaultBarrier barrier = new FaultBarrier("apply record");
+    private final OddEntries oddDaemons = new OddEntries("daemon-unreadable", "daemon");
     private final Map<InstanceId, Daemon> daemons = new HashMap<>();
     private final UsageWriter usage;
     private final DutyRunner duties;
@@ -178,7 +181,10 @@
         follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, DAEMONS_WAIT_MILLIS, this::applyDaemons, () -> {});
         follow(StoreCodec.POISON_TOPIC, 0, POISON_WAIT_MILLIS, this::applyPoison, () -> {});
         loop.scheduleWithFixedDelay(
-                this::dropMissing, MISSING_CHECK_MILLIS, MISSING_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+                FaultBarrier.around("drop missing endpoints", this::dropMissing),
+                MISSING_CHECK_MILLIS,
+                MISSING_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
         duties.start();
     }
 
@@ -220,9 +226,8 @@
 
     private void applyPoison(List<KeyedRecord> records, boolean snapshot) {
         records.stream()
-                .map(KeyedRecord::value)
-                .filter(value -> value.length > 0)
-                .forEach(listener::onPoison);
+                .filter(entry -> entry.value().length > 0)
+                .forEach(entry -> barrier.run(entry.key(), () -> listener.onPoison(entry.value())));
     }
 
     /**
@@ -319,27 +324,28 @@
     }
 
     private void applyDeployments(List<KeyedRecord> records, boolean snapshot) {
-        for (KeyedRecord entry : records) {
-            if (!StoreCodec.CONFIGURATION_KEY.equals(entry.key()) || entry.value().length == 0) {
-                continue;
-            }
-            try {
-                Deployment next = DeploymentCodec.decode(entry.value());
-                if (deployment == null || next.version() > deployment.version()) {
-                    deployment = next;
-                    Event.of("deployment")
-                            .with("version", next.version())
-                            .with("offset", entry.offset())
-                            .info(LOGGER);
-                    listener.onDeployment(next);
-                }
-            } catch (CodecException exception) {
-                Event.of("deployment-unreadable")
+        records.stream()
+                .filter(entry -> StoreCodec.CONFIGURATION_KEY.equals(entry.key()) && entry.value().length > 0)
+                .forEach(entry -> barrier.run(entry.key(), () -> applyDeployment(entry)));
+    }
+
+    private void applyDeployment(KeyedRecord entry) {
+        try {
+            Deployment next = DeploymentCodec.decode(entry.value());
+            if (deployment == null || next.version() > deployment.version()) {
+                deployment = next;
+                Event.of("deployment")
+                        .with("version", next.version())
                         .with("offset", entry.offset())
-                        .with("in-force", deployment == null ? "-" : deployment.version())
-                        .with("reason", exception.getMessage())
-                        .warn(LOGGER);
+                        .info(LOGGER);
+                listener.onDeployment(next);
             }
+        } catch (CodecException exception) {
+            Event.of("deployment-unreadable")
+                    .with("offset", entry.offset())
+                    .with("in-force", deployment == null ? "-" : deployment.version())
+                    .with("reason", exception.getMessage())
+                    .warn(LOGGER);
         }
     }
 
@@ -362,26 +368,28 @@
         if (snapshot) {
             daemons.clear();
         }
-        for (KeyedRecord entry : records) {
-            InstanceId id = new InstanceId(entry.key());
-            if (entry.value().length == 0) {
-                daemons.remove(id);
-                continue;
-            }
-            try {
-                daemons.put(id, DaemonCodec.decode(entry.key(), entry.value()));
-            } catch (CodecException exception) {
-                Event.of("daemon-unreadable")
-                        .with("daemon", id)
-                        .with("reason", exception.getMessage())
-                        .warn(LOGGER);
-            }
-        }
+        records.forEach(entry -> barrier.run(entry.key(), () -> applyDaemon(entry)));
         listener.onDaemons(daemons.values().stream()
                 .filter(daemon -> !daemon.id().equals(self.id()))
                 .toList());
     }
 
+    /** Applies an entry. One that can't be used leaves the daemon's earlier one in place, as gossip shows if it runs. */
+    private void applyDaemon(KeyedRecord entry) {
+        InstanceId id = new InstanceId(entry.key());
+        if (entry.value().length == 0) {
+            daemons.remove(id);
+            oddDaemons.forget(entry.key());
+            return;
+        }
+        try {
+            daemons.put(id, DaemonCodec.decode(entry.key(), entry.value()));
+            oddDaemons.forget(entry.key());
+        } catch (CodecException exception) {
+            oddDaemons.report(entry, exception);
+        }
+    }
+
     /**
      * Applies records of a topic; a snapshot replaces all earlier ones.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -8,6 +8,7 @@
 import org.ragwortpitch.adapter.GroupAssignment;
 import org.ragwortpitch.adapter.StoreCodec;
 import org.ragwortpitch.edge.http.CallResponse;
+import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.logging.Event;
 
 /**
@@ -70,7 +71,8 @@
 
     void start() {
         renew();
-        loop.scheduleWithFixedDelay(this::step, STEP_MILLIS, STEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                FaultBarrier.around("duties", this::step), STEP_MILLIS, STEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -113,8 +115,8 @@
                 StoreCodec.join(GROUP, member, TOPIC, TTL_MILLIS, lease.generation()),
                 0,
                 response -> {
-                    onJoined(response, sent);
                     loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
+                    onJoined(response, sent);
                 },
                 reason -> loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS));
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/EndpointRegistry.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EndpointRegistry.java
@@ -1,6 +1,5 @@
 package org.ragwortpitch.edge.control;
 
-import java.lang.System.Logger;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,9 +11,9 @@
 import org.ragwortpitch.adapter.EndpointCodec;
 import org.ragwortpitch.adapter.KeyedRecord;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
-import org.ragwortpitch.logging.Event;
 
 /**
  * Registry of the listed endpoints. Entries can expire during an outage of the store although their endpoints are
@@ -23,12 +22,12 @@
  */
 final class EndpointRegistry {
 
-    private static final Logger LOGGER = System.getLogger(EndpointRegistry.class.getName());
-
     /** Time after the store's return within which the platform has live endpoints listed again, in milliseconds. */
     static final long RELIST_MILLIS = 2_000;
 
     private final Map<EndpointId, Endpoint> listed = new HashMap<>();
+    private final FaultBarrier barrier = new FaultBarrier("apply endpoint");
+    private final OddEntries oddEntries = new OddEntries("endpoint-unreadable", "endpoint");
     private final Set<EndpointId> missing = new HashSet<>();
     private long changedOffset = -1;
 
@@ -56,28 +55,33 @@
      * @param reachableMillis how long the store has been reachable, in milliseconds
      */
     void update(List<KeyedRecord> records, long reachableMillis) {
-        for (KeyedRecord entry : records) {
-            EndpointId id = EndpointCodec.id(entry.key());
-            if (entry.value().length == 0) {
-                remove(id, reachableMillis);
+        records.forEach(entry -> barrier.run(entry.key(), () -> apply(entry, reachableMillis)));
+    }
+
+    private void apply(KeyedRecord entry, long reachableMillis) {
+        EndpointId id = EndpointCodec.id(entry.key());
+        if (entry.value().length == 0) {
+            remove(id, reachableMillis);
+            oddEntries.forget(entry.key());
+            changedOffset = Math.max(changedOffset, entry.offset());
+            return;
+        }
+        try {
+            Endpoint now = EndpointCodec.decode(entry.key(), entry.value());
+            Endpoint before = listed.put(id, now);
+            missing.remove(id);
+            oddEntries.forget(entry.key());
+            if (before == null || !now.isRoutedLike(before)) {
                 changedOffset = Math.max(changedOffset, entry.offset());
-                continue;
             }
-            try {
-                Endpoint now = EndpointCodec.decode(entry.key(), entry.value());
-                Endpoint before = listed.put(id, now);
-                missing.remove(id);
-                if (before == null || !now.isRoutedLike(before)) {
-                    changedOffset = Math.max(changedOffset, entry.offset());
-                }
-            } catch (CodecException exception) {
-                listed.remove(id);
+        } catch (CodecException exception) {
+            // The newest entry of a key is the one that counts: where it can't be read, what an earlier one said, such
+            // as the address or that the endpoint doesn't leave, may no longer hold.
+            if (listed.remove(id) != null) {
                 changedOffset = Math.max(changedOffset, entry.offset());
-                Event.of("endpoint-unreadable")
-                        .with("endpoint", id)
-                        .with("reason", exception.getMessage())
-                        .warn(LOGGER);
             }
+            missing.remove(id);
+            oddEntries.report(entry, exception);
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -12,6 +12,7 @@
 import org.ragwortpitch.adapter.StoreCodec;
 import org.ragwortpitch.adapter.TopicPage;
 import org.ragwortpitch.edge.http.CallResponse;
+import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.logging.Event;
 
 /**
@@ -33,6 +34,7 @@
     private final long pauseMillis;
     private final long waitMillis;
     private final TopicListener listener;
+    private final FaultBarrier barrier;
     private long offset;
     private long announcedOffset = -1;
     private ScheduledFuture<?> next;
@@ -56,6 +58,7 @@
         this.pauseMillis = pauseMillis;
         this.waitMillis = waitMillis;
         this.listener = listener;
+        this.barrier = new FaultBarrier("follow " + topic);
     }
 
     void start() {
@@ -77,11 +80,11 @@
         store.call(
                 StoreCodec.readCompacted(topic, after),
                 0,
-                response -> onLoadedPage(response, loaded, firstEnd),
+                response -> onLoadedPage(response, after, loaded, firstEnd),
                 reason -> schedule(RETRY_MILLIS, this::start));
     }
 
-    private void onLoadedPage(CallResponse response, List<KeyedRecord> loaded, long firstEnd) {
+    private void onLoadedPage(CallResponse response, String after, List<KeyedRecord> loaded, long firstEnd) {
         try {
             if (!response.isOk()) {
                 throw new CodecException("load returned status " + response.status());
@@ -91,7 +94,11 @@
             // Pages of one load may differ in time, so reading starts at the log's end as of the first page.
             long end = firstEnd < 0 ? page.endOffset() : firstEnd;
             if (page.hasMore() && !page.records().isEmpty()) {
-                load(page.records().get(page.records().size() - 1).key(), loaded, end);
+                String last = page.records().get(page.records().size() - 1).key();
+                if (last.equals(after)) {
+                    throw new CodecException("the pages of the load don't advance after key " + last);
+                }
+                load(last, loaded, end);
                 return;
             }
             offset = end;
@@ -100,8 +107,10 @@
                     .with("keys", loaded.size())
                     .with("offset", offset)
                     .info(LOGGER);
-            listener.onLoaded(loaded);
-            listener.onRead();
+            barrier.run("load up to offset " + offset, () -> {
+                listener.onLoaded(loaded);
+                listener.onRead();
+            });
             read();
         } catch (CodecException exception) {
             logUnreadable(exception);
@@ -133,11 +142,13 @@
             for (int index = 0; index < page.records().size(); index++) {
                 addIfReadable(records, page.records().get(index), offset + index);
             }
+            barrier.run("offsets from " + offset, () -> {
+                if (!records.isEmpty()) {
+                    listener.onRecords(records);
+                }
+                listener.onRead();
+            });
             offset = page.nextOffset();
-            if (!records.isEmpty()) {
-                listener.onRecords(records);
-            }
-            listener.onRead();
             next = schedule(offset <= announcedOffset ? RETRY_MILLIS : pauseMillis, this::read);
         } catch (CodecException exception) {
             logUnreadable(exception);
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
@@ -78,8 +78,7 @@
             return;
         }
         busy = true;
-        readLedger(() ->
-                nextDue(last).ifPresentOrElse(window -> advance(window, fencingToken, refused), () -> busy = false));
+        readLedger(() -> nextDue(last).ifPresent(window -> advance(window, fencingToken, refused)));
     }
 
     private Optional<Long> nextDue(long last) {
@@ -95,13 +94,13 @@
         Optional<Map<AccountId, Long>> frozen = ledger.frozen(window);
         if (frozen.isPresent()) {
             report(window, frozen.get(), fencingToken, refused);
-        } else if (!ledger.countedIncarnations(window).containsAll(expectedWriters) && !isReportUrgent(window)) {
-            busy = false;
-        } else if (totals(window).isEmpty()) {
-            reported.add(window);
-            busy = false;
-        } else {
-            freeze(window);
+        } else if (ledger.countedIncarnations(window).containsAll(expectedWriters) || isReportUrgent(window)) {
+            Map<AccountId, Long> totals = totals(window);
+            if (totals.isEmpty()) {
+                reported.add(window);
+            } else {
+                freeze(window, totals);
+            }
         }
     }
 
@@ -136,8 +135,9 @@
         peerCounts = counts;
     }
 
-    private void freeze(long window) {
-        LedgerEntry entry = new LedgerEntry(window, self, 0, 0, true, totals(window));
+    private void freeze(long window, Map<AccountId, Long> totals) {
+        LedgerEntry entry = new LedgerEntry(window, self, 0, 0, true, totals);
+        busy = true;
         store.call(
                 StoreCodec.append(UsageCodec.TOPIC, List.of(UsageCodec.encode(entry))),
                 0,
@@ -146,6 +146,7 @@
     }
 
     private void report(long window, Map<AccountId, Long> counts, long fencingToken, Runnable refused) {
+        busy = true;
         platform.call(
                 DutyCodec.usage(self, fencingToken, window, counts),
                 "usage of window " + window + " " + counts,
@@ -165,10 +166,9 @@
                 StoreCodec.read(UsageCodec.TOPIC, offset, 0),
                 0,
                 response -> {
+                    busy = false;
                     if (applyPage(response)) {
                         done.run();
-                    } else {
-                        busy = false;
                     }
                 },
                 reason -> busy = false);
--- a/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
@@ -18,6 +18,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.ragwortpitch.deployment.CallerLimits;
+import org.ragwortpitch.edge.task.FaultBarrier;
 
 /**
  * Accepts callers' HTTP/1.1 connections. Confined to its event loop's thread.
@@ -76,7 +77,8 @@
                 .syncUninterruptibly()
                 .channel();
         timeoutChecks = loop.scheduleWithFixedDelay(
-                () -> List.copyOf(connections).forEach(connection -> connection.checkTimeouts(clockMillis.getAsLong())),
+                FaultBarrier.around("check timeouts", () -> List.copyOf(connections)
+                        .forEach(connection -> connection.checkTimeouts(clockMillis.getAsLong()))),
                 TIMEOUT_CHECK_MILLIS,
                 TIMEOUT_CHECK_MILLIS,
                 TimeUnit.MILLISECONDS);
--- a/edge/src/main/java/org/ragwortpitch/edge/http/BufferingHttpCaller.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/BufferingHttpCaller.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.ragwortpitch.adapter.HttpCall;
+import org.ragwortpitch.edge.task.FaultBarrier;
 
 /**
  * Makes calls whose responses are small enough to be buffered whole. Confined to its event loop's thread.
@@ -21,6 +22,7 @@
 
     private final EventLoop loop;
     private final ConnectionPool pool;
+    private final FaultBarrier barrier = new FaultBarrier("handle response");
 
     /**
      * Creates a caller that uses a pool's connections.
@@ -51,7 +53,8 @@
         }
         ByteBuf body = Unpooled.wrappedBuffer(call.body());
         OutboundRequest request = new OutboundRequest(call.method(), call.target(), headers, body, "");
-        ResponseCollector collector = new ResponseCollector(onResponse, onFailure);
+        ResponseCollector collector = new ResponseCollector(
+                response -> barrier.run(address + call.target(), () -> onResponse.accept(response)), onFailure);
         Cancellation cancellation = pool.send(address, request, Long.MAX_VALUE, collector);
         collector.timer = loop.schedule(
                 () -> {
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerStatus.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerStatus.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.ragwortpitch.deployment.HostAndPort;
 import org.ragwortpitch.identity.PoolId;
 
 /**
@@ -23,11 +24,13 @@
     }
 
     /**
-     * Decodes a status.
+     * Decodes a status. What is not a port counts as none.
      */
     public static PeerStatus decode(boolean ready, int proxyPort, Collection<String> unreachablePools) {
         return new PeerStatus(
-                ready, proxyPort, unreachablePools.stream().map(PoolId::new).collect(Collectors.toUnmodifiableSet()));
+                ready,
+                HostAndPort.isPort(proxyPort) ? proxyPort : 0,
+                unreachablePools.stream().map(PoolId::new).collect(Collectors.toUnmodifiableSet()));
     }
 
     /**
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/task/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Running of tasks on event loops.
+ */
+package org.ragwortpitch.edge.task;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointCrashCodec.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointCrashCodec.java
@@ -20,6 +20,9 @@
  */
 public final class EndpointCrashCodec {
 
+    /** Longer ages count as this one, in milliseconds; no crash is kept for so long. */
+    private static final long MAX_AGE_MILLIS = 86_400_000;
+
     private EndpointCrashCodec() {}
 
     static CrashedEndpoint encode(EndpointCrash crash, long nowMillis) {
@@ -48,7 +51,7 @@
                 .collect(Collectors.toSet());
         return new EndpointCrash(
                 new EndpointIncarnation(new EndpointId(message.getEndpoint()), message.getBornMillis()),
-                nowMillis - message.getAgeMillis(),
+                nowMillis - Math.min(MAX_AGE_MILLIS, Math.max(0, message.getAgeMillis())),
                 requests,
                 causes(message.getServedList(), message.getServedRequestsList()),
                 causes(message.getProvenList(), message.getProvenRequestsList()),
@@ -83,7 +86,7 @@
     public static List<EndpointCrash> decodeRecord(byte[] bytes, long nowMillis, long wallMillis)
             throws InvalidProtocolBufferException {
         Gossip record = Gossip.parseFrom(bytes);
-        long recordAgeMillis = Math.max(0, wallMillis - record.getWallMillis());
+        long recordAgeMillis = Math.min(MAX_AGE_MILLIS, Math.max(0, wallMillis - Math.max(0, record.getWallMillis())));
         return record.getCrashedEndpointsList().stream()
                 .map(crash -> decode(crash, nowMillis - recordAgeMillis))
                 .toList();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -134,9 +134,10 @@
     private void receiveLimit(EndpointLimit limit, boolean direct, long nowMillis) {
         EndpointState state = context.endpoints().find(new EndpointId(limit.getEndpoint()));
         if (state != null && state.endpoint().startMillis() == limit.getBornMillis()) {
-            OptionalDouble perSecond =
-                    limit.hasPerSecond() ? OptionalDouble.of(limit.getPerSecond()) : OptionalDouble.empty();
-            state.learnLimit(new LimitReading(perSecond, nowMillis - limit.getAgeMillis()), direct);
+            OptionalDouble perSecond = limit.hasPerSecond() && limit.getPerSecond() >= 0
+                    ? OptionalDouble.of(limit.getPerSecond())
+                    : OptionalDouble.empty();
+            state.learnLimit(new LimitReading(perSecond, nowMillis - Math.max(0, limit.getAgeMillis())), direct);
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamOriginCodec.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamOriginCodec.java
@@ -40,8 +40,8 @@
             origins.add(new StreamOrigin(
                     new StreamId(message.getStreams(index)),
                     version,
-                    nowMillis - message.getAgeMillis(index),
-                    nowMillis + message.getLeftMillis(index)));
+                    nowMillis - Math.max(0, message.getAgeMillis(index)),
+                    nowMillis + Math.max(0, message.getLeftMillis(index))));
         }
         return origins;
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -193,7 +193,7 @@
             Endpoint engine = new Endpoint(
                     ENGINE,
                     POOL,
-                    "e",
+                    "10.0.0.1:80",
                     new FailureDomain("a"),
                     64,
                     false,
@@ -312,7 +312,7 @@
             Endpoint engine = new Endpoint(
                     ENGINE,
                     POOL,
-                    "e",
+                    "10.0.0.1:80",
                     self.domain(),
                     64,
                     false,
--- a/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
@@ -35,6 +35,22 @@
         OptionalLong reclaimedInMillis,
         SoftwareVersion version) {
 
+    /**
+     * Refuses an endpoint that can't be named, connected to or given a request.
+     *
+     * @throws IllegalArgumentException if the id is empty, the address is not an IP address and port, or there is no
+     *                                  slot
+     */
+    public Endpoint {
+        if (id.value().isEmpty()) {
+            throw new IllegalArgumentException("the id is empty; expected the endpoint's name");
+        }
+        HostAndPort.require(address);
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots are " + slots + "; expected 1 or more");
+        }
+    }
+
     /**
      * Returns whether this endpoint and another are the same incarnation with the same draining state, role and
      * pool, so that requests are routed to both alike.
--- a/policy/src/main/java/org/ragwortpitch/resumption/StreamOrigins.java
+++ b/policy/src/main/java/org/ragwortpitch/resumption/StreamOrigins.java
@@ -42,7 +42,8 @@
      */
     public void learn(StreamOrigin origin, long nowMillis) {
         if (!isExpired(origin, nowMillis) && !own.containsKey(origin.stream())) {
-            put(told, origin);
+            long untilMillis = Math.min(origin.untilMillis(), nowMillis + MAX_KEPT_MILLIS);
+            put(told, new StreamOrigin(origin.stream(), origin.version(), origin.atMillis(), untilMillis));
         }
     }
 
