Take a version for the only one by readings sent after the attempt arrived

cause: a reading of the endpoints' list was dated from when its answer was handled and counted for three seconds, while other daemons begin streams at a new version 1.5 s after its listing, or at once if they have just started: a daemon whose answers were delayed, or that stood still, went on with such streams at the old version change: ListedVersions takes only a reading that was sent after the attempt had arrived, and all versions listed since the reading before; a daemon that lacks one asks for it. A gap between readings hides nothing, as the log shows every entry; only a load does ruled out: a shorter age of readings (daemons that have just started, and pools without another engine, keep no settling time) result: ResumptionHistoryTest, 100 histories with freezes and delayed answers: no stream mixed (two a history were allowed), at least half of the takings-up of daemons in touch go on; the old rule as a control mixes streams

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -240,9 +240,14 @@
                 demands,
                 poison,
                 origins,
+                this::readEndpointsSoon,
                 metrics);
     }
 
+    private void readEndpointsSoon() {
+        controlLoop.execute(() -> control.readEndpointsSoon());
+    }
+
     private Control control() {
         ConnectionPool connections = new ConnectionPool(controlLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
         return new Control(
--- a/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
@@ -8,6 +8,7 @@
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.edge.control.ControlListener;
+import org.ragwortpitch.edge.control.EndpointReading;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.traffic.EndpointTable;
 import org.ragwortpitch.edge.traffic.Gateway;
@@ -77,8 +78,8 @@
     }
 
     @Override
-    public void onEndpointsRead() {
-        trafficLoop.execute(() -> table.recordRead(clockMillis.getAsLong()));
+    public void onEndpointsRead(EndpointReading reading) {
+        trafficLoop.execute(() -> table.recordRead(reading, clockMillis.getAsLong()));
     }
 
     @Override
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.ragwortpitch.adapter.CodecException;
@@ -76,6 +77,7 @@
     private final Daemon self;
     private final ControlListener listener;
     private final StoreClient store;
+    private final LongSupplier clockMillis;
     private final EndpointRegistry endpoints = new EndpointRegistry();
     private final FaultBarrier barrier = new FaultBarrier("apply record");
     private final OddEntries oddDaemons = new OddEntries("daemon-unreadable", "daemon");
@@ -110,6 +112,7 @@
         this.settings = settings;
         this.self = self;
         this.listener = listener;
+        this.clockMillis = clockMillis;
         this.store = new StoreClient(caller, settings.storeAddress(), clockMillis, metrics);
         String incarnation = self.id().value() + "-" + self.startMillis();
         this.usage = new UsageWriter(loop, store, self);
@@ -173,13 +176,17 @@
      */
     public void start() {
         register();
-        follow(StoreCodec.OPERATORS_TOPIC, 0, DEPLOYMENT_WAIT_MILLIS, this::applyDeployments, () -> {});
+        follow(StoreCodec.OPERATORS_TOPIC, 0, DEPLOYMENT_WAIT_MILLIS, this::applyDeployments, reading -> {});
         long endpointsPauseMillis =
                 Math.max(ENDPOINTS_READ_MARGIN_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_READ_MARGIN_MILLIS);
         endpointsFollower = follow(
-                StoreCodec.ENDPOINTS_TOPIC, endpointsPauseMillis, 0, this::applyEndpoints, listener::onEndpointsRead);
-        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, DAEMONS_WAIT_MILLIS, this::applyDaemons, () -> {});
-        follow(StoreCodec.POISON_TOPIC, 0, POISON_WAIT_MILLIS, this::applyPoison, () -> {});
+                StoreCodec.ENDPOINTS_TOPIC,
+                endpointsPauseMillis,
+                0,
+                this::applyEndpoints,
+                reading -> listener.onEndpointsRead(endpoints.reading(reading)));
+        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, DAEMONS_WAIT_MILLIS, this::applyDaemons, reading -> {});
+        follow(StoreCodec.POISON_TOPIC, 0, POISON_WAIT_MILLIS, this::applyPoison, reading -> {});
         loop.scheduleWithFixedDelay(
                 FaultBarrier.around("drop missing endpoints", this::dropMissing),
                 MISSING_CHECK_MILLIS,
@@ -267,6 +274,15 @@
         }
     }
 
+    /**
+     * Reads the endpoints' topic ahead of schedule, for a request that needs to know what is listed now.
+     */
+    public void readEndpointsSoon() {
+        if (endpointsFollower != null) {
+            endpointsFollower.readSoon();
+        }
+    }
+
     /**
      * Leaves the duties to other daemons while this one reaches no endpoint and another does.
      */
@@ -302,8 +318,12 @@
     }
 
     private TopicFollower follow(
-            String topic, long pauseMillis, long waitMillis, RecordConsumer consumer, Runnable afterRead) {
-        TopicFollower follower = new TopicFollower(loop, store, topic, pauseMillis, waitMillis, new TopicListener() {
+            String topic,
+            long pauseMillis,
+            long waitMillis,
+            RecordConsumer consumer,
+            Consumer<TopicReading> afterRead) {
+        TopicListener applying = new TopicListener() {
             @Override
             public void onLoaded(List<KeyedRecord> records) {
                 consumer.accept(records, true);
@@ -315,10 +335,11 @@
             }
 
             @Override
-            public void onRead() {
-                afterRead.run();
+            public void onRead(TopicReading reading) {
+                afterRead.accept(reading);
             }
-        });
+        };
+        TopicFollower follower = new TopicFollower(loop, store, topic, pauseMillis, waitMillis, clockMillis, applying);
         follower.start();
         return follower;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
@@ -26,7 +26,7 @@
     /**
      * Called after each successful reading of the endpoints' list, and after {@link #onEndpoints} if it changed.
      */
-    void onEndpointsRead();
+    void onEndpointsRead(EndpointReading reading);
 
     /**
      * Called with the endpoints that are switching roles on this daemon's orders.
--- a/edge/src/main/java/org/ragwortpitch/edge/control/EndpointRegistry.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EndpointRegistry.java
@@ -14,6 +14,7 @@
 import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 
 /**
  * Registry of the listed endpoints. Entries can expire during an outage of the store although their endpoints are
@@ -29,6 +30,7 @@
     private final FaultBarrier barrier = new FaultBarrier("apply endpoint");
     private final OddEntries oddEntries = new OddEntries("endpoint-unreadable", "endpoint");
     private final Set<EndpointId> missing = new HashSet<>();
+    private Map<PoolId, Set<SoftwareVersion>> versionsSinceReading = new HashMap<>();
     private long changedOffset = -1;
 
     /**
@@ -69,6 +71,7 @@
         try {
             Endpoint now = EndpointCodec.decode(entry.key(), entry.value());
             Endpoint before = listed.put(id, now);
+            addVersion(versionsSinceReading, now);
             missing.remove(id);
             oddEntries.forget(entry.key());
             if (before == null || !now.isRoutedLike(before)) {
@@ -85,6 +88,22 @@
         }
     }
 
+    /**
+     * Returns what the reading whose entries have been applied shows of software versions. An engine that came and went
+     * between two readings may have begun streams.
+     */
+    EndpointReading reading(TopicReading reading) {
+        Map<PoolId, Set<SoftwareVersion>> now = new HashMap<>();
+        listed.values().forEach(endpoint -> addVersion(now, endpoint));
+        Map<PoolId, Set<SoftwareVersion>> since = versionsSinceReading;
+        versionsSinceReading = new HashMap<>();
+        return new EndpointReading(reading.sentMillis(), reading.continuous(), now, since);
+    }
+
+    private static void addVersion(Map<PoolId, Set<SoftwareVersion>> versions, Endpoint endpoint) {
+        versions.computeIfAbsent(endpoint.pool(), pool -> new HashSet<>()).add(endpoint.version());
+    }
+
     /**
      * Removes the missing entries once their endpoints should have listed themselves again.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.CompactedTopicPage;
 import org.ragwortpitch.adapter.KeyedRecord;
@@ -26,6 +27,9 @@
     /** Pause after a failed call, in milliseconds; short compared to the deadlines that start at the store's return. */
     private static final long RETRY_MILLIS = 250;
 
+    /** Shortest pause between two readings that are asked for, in milliseconds; calls are billed. */
+    private static final long MIN_PAUSE_MILLIS = 50;
+
     private static final int GONE = 410;
 
     private final EventLoop loop;
@@ -33,10 +37,12 @@
     private final String topic;
     private final long pauseMillis;
     private final long waitMillis;
+    private final LongSupplier clockMillis;
     private final TopicListener listener;
     private final FaultBarrier barrier;
     private long offset;
     private long announcedOffset = -1;
+    private long sentMillis;
     private ScheduledFuture<?> next;
 
     /**
@@ -44,6 +50,7 @@
      *
      * @param pauseMillis pause between reads, in milliseconds; calls are billed
      * @param waitMillis  long-poll timeout of a read, in milliseconds
+     * @param clockMillis the monotonic clock
      */
     TopicFollower(
             EventLoop loop,
@@ -51,12 +58,14 @@
             String topic,
             long pauseMillis,
             long waitMillis,
+            LongSupplier clockMillis,
             TopicListener listener) {
         this.loop = loop;
         this.store = store;
         this.topic = topic;
         this.pauseMillis = pauseMillis;
         this.waitMillis = waitMillis;
+        this.clockMillis = clockMillis;
         this.listener = listener;
         this.barrier = new FaultBarrier("follow " + topic);
     }
@@ -65,6 +74,17 @@
         load("", new ArrayList<>(), -1);
     }
 
+    /**
+     * Reads ahead of schedule, so that a reading follows that is sent after this call; at most twenty times a second. A
+     * call while another reading is under way has to be repeated once that one is answered.
+     */
+    void readSoon() {
+        if (next != null && next.cancel(false)) {
+            long waitedMillis = clockMillis.getAsLong() - sentMillis;
+            next = schedule(Math.max(0, MIN_PAUSE_MILLIS - waitedMillis), this::read);
+        }
+    }
+
     /**
      * Reads ahead of schedule unless the topic has already been read past an offset.
      */
@@ -77,6 +97,9 @@
     }
 
     private void load(String after, List<KeyedRecord> loaded, long firstEnd) {
+        if (loaded.isEmpty()) {
+            sentMillis = clockMillis.getAsLong();
+        }
         store.call(
                 StoreCodec.readCompacted(topic, after),
                 0,
@@ -109,7 +132,7 @@
                     .info(LOGGER);
             barrier.run("load up to offset " + offset, () -> {
                 listener.onLoaded(loaded);
-                listener.onRead();
+                listener.onRead(new TopicReading(sentMillis, false));
             });
             read();
         } catch (CodecException exception) {
@@ -121,6 +144,8 @@
     private void read() {
         // The first read after a failure doesn't wait for records, so that the store's return shows at once.
         long currentWaitMillis = store.isReachable() ? waitMillis : 0;
+        next = null;
+        sentMillis = clockMillis.getAsLong();
         store.call(
                 StoreCodec.read(topic, offset, currentWaitMillis),
                 currentWaitMillis,
@@ -146,7 +171,7 @@
                 if (!records.isEmpty()) {
                     listener.onRecords(records);
                 }
-                listener.onRead();
+                listener.onRead(new TopicReading(sentMillis, true));
             });
             offset = page.nextOffset();
             next = schedule(offset <= announcedOffset ? RETRY_MILLIS : pauseMillis, this::read);
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicListener.java
@@ -21,5 +21,5 @@
     /**
      * Called after each successful reading, whether it brought records or not.
      */
-    void onRead();
+    void onRead(TopicReading reading);
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -15,6 +15,7 @@
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.Pool;
+import org.ragwortpitch.edge.control.EndpointReading;
 import org.ragwortpitch.health.EndpointNotices;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
@@ -88,24 +89,38 @@
     }
 
     /**
-     * Records that the present listing was read from the store, or read again without a change.
+     * Records which software versions a reading of the endpoints' list shows.
      */
-    public void recordRead(long nowMillis) {
-        Map<PoolId, Set<SoftwareVersion>> listed = new HashMap<>();
-        versions.keySet().forEach(pool -> listed.put(pool, new HashSet<>()));
-        states.values().stream().filter(state -> state.engine() != null).forEach(state -> listed.computeIfAbsent(
-                        state.endpoint().pool(), pool -> new HashSet<>())
-                .add(state.endpoint().version()));
-        listed.forEach((pool, now) -> versions.computeIfAbsent(pool, id -> new ListedVersions(firstStart))
-                .read(now, nowMillis));
+    public void recordRead(EndpointReading reading, long nowMillis) {
+        Set<PoolId> pools = new HashSet<>(versions.keySet());
+        pools.addAll(reading.listed().keySet());
+        pools.addAll(reading.since().keySet());
+        pools.forEach(pool -> versions.computeIfAbsent(pool, id -> new ListedVersions(firstStart))
+                .read(
+                        reading.listed().getOrDefault(pool, Set.of()),
+                        reading.since().getOrDefault(pool, Set.of()),
+                        reading.continuous(),
+                        reading.sentMillis(),
+                        nowMillis));
     }
 
     /**
-     * Returns the only software version of a pool's engines that can have begun a stream which is taken up now; empty
-     * if there may be several.
+     * Returns the only software version of a pool's engines that can have begun a stream; empty if there may be several.
+     *
+     * @param arrivedMillis when the request that takes the stream up arrived
+     */
+    Optional<SoftwareVersion> onlyVersion(PoolId pool, long arrivedMillis, long nowMillis) {
+        return Optional.ofNullable(versions.get(pool)).flatMap(listed -> listed.only(arrivedMillis, nowMillis));
+    }
+
+    /**
+     * Returns whether the version that began a stream may be known once the list has been read again.
+     *
+     * @param arrivedMillis when the request that takes the stream up arrived
      */
-    Optional<SoftwareVersion> onlyVersion(PoolId pool, long nowMillis) {
-        return Optional.ofNullable(versions.get(pool)).flatMap(listed -> listed.only(nowMillis));
+    boolean awaitsReading(PoolId pool, long arrivedMillis, long nowMillis) {
+        ListedVersions listed = versions.get(pool);
+        return listed != null && listed.awaitsReading(arrivedMillis, nowMillis);
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamResumption.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamResumption.java
@@ -15,7 +15,10 @@
  */
 final class StreamResumption {
 
-    /** How long a request waits to learn where its stream began, in milliseconds: gossip of it may be on its way. */
+    /**
+     * How long a request waits to learn where its stream began, in milliseconds: gossip of it may be on its way, and the
+     * endpoints' list is read anew.
+     */
     private static final long MAX_WAIT_MILLIS = 300;
 
     private static final long POLL_MILLIS = 25;
@@ -69,11 +72,16 @@
             return;
         }
         long now = now();
+        long arrivedMillis = exchange.request().arrivedMillis();
         version = takenUp.flatMap(stream -> context.origins().versionOf(stream, now))
-                .or(() -> context.endpoints().onlyVersion(pool, now));
+                .or(() -> context.endpoints().onlyVersion(pool, arrivedMillis, now));
+        boolean awaitsReading = context.endpoints().awaitsReading(pool, arrivedMillis, now);
         if (version.isPresent()) {
             onReady.run();
-        } else if (takenUp.isPresent() && now < untilMillis) {
+        } else if ((takenUp.isPresent() || awaitsReading) && now < untilMillis) {
+            if (awaitsReading) {
+                context.readEndpointsSoon().run();
+            }
             context.loop()
                     .schedule(() -> resolveUntil(untilMillis, onReady, onUnknown), POLL_MILLIS, TimeUnit.MILLISECONDS);
         } else {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
@@ -15,6 +15,7 @@
  * @param clockMillis the monotonic clock, in milliseconds
  * @param wallMillis  the wall clock that the majority of daemons agrees on, in milliseconds since 1970
  * @param domain      this daemon's failure domain
+ * @param readEndpointsSoon has the endpoints' list read ahead of schedule
  */
 public record TrafficContext(
         EventLoop loop,
@@ -31,4 +32,5 @@
         PoolDemands demands,
         PoisonRequests poisonRequests,
         StreamOrigins origins,
+        Runnable readEndpointsSoon,
         EdgeMetrics metrics) {}
--- a/edge/src/test/java/org/ragwortpitch/edge/StreamVersionTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StreamVersionTest.java
@@ -39,6 +39,10 @@
 
     private static final int STREAMS = 20;
 
+    private static final long DELAY_MILLIS = 2_800;
+
+    private static final long SETTLING_MILLIS = 1_500;
+
     /** How long daemons may take to learn of each other and of engines, in milliseconds. */
     private static final long CONTACT_MILLIS = 3_000;
 
@@ -269,6 +273,39 @@
         resumeAll(daemons.startAgain("front-1"), begun);
     }
 
+    /**
+     * Guards against a daemon out of step: it has begun no stream and hears of none, and the answer which it handles
+     * last was sent before engines of another version were listed, where other daemons have begun streams since.
+     */
+    @Test
+    void testDaemonOutOfStepDoesNotGoOnWithAStreamOfAVersionThatItHasNotRead() throws Exception {
+        engines.get("v2").forEach(engine -> store.put("keyed.servers", "servers/" + engine.id(), ""));
+        Edge edge = daemons.start("front-1");
+        TestDaemons.await(() -> resume(edge, "unknown", Map.of(1, "v1")).size() == LAST_EVENT - 1);
+        store.delayAnswers("keyed.servers", DELAY_MILLIS);
+        Thread.sleep(CONTACT_MILLIS);
+        engines.get("v2").forEach(engine -> engine.list(store, "llm", "decode", "ready"));
+        // Other daemons send to an engine 1.5 s after its listing.
+        Thread.sleep(SETTLING_MILLIS);
+        for (int stream = 0; stream < STREAMS; stream++) {
+            Map<Integer, String> events = resume(edge, "unknown-" + stream, Map.of(1, "v2"));
+            assertTrue(events.isEmpty(), "a stream of v2 went on with " + events);
+        }
+    }
+
+    /** Shows that a daemon which is in step finds the version of a stream of unknown origin by reading the list. */
+    @Test
+    void testStreamOfUnknownOriginGoesOnWhileTheListIsReadSeldom() throws Exception {
+        engines.get("v2").forEach(engine -> store.put("keyed.servers", "servers/" + engine.id(), ""));
+        Edge edge = daemons.start("front-1");
+        TestDaemons.await(() -> resume(edge, "unknown", Map.of(1, "v1")).size() == LAST_EVENT - 1);
+        for (int stream = 0; stream < STREAMS; stream++) {
+            assertEquals(
+                    LAST_EVENT - 1,
+                    resume(edge, "unknown-" + stream, Map.of(1, "v1")).size());
+        }
+    }
+
     /** Shows that streams of unknown origin go on as long as all engines have the same version. */
     @Test
     void testStreamOfUnknownOriginGoesOnBeforeOneVersion() throws Exception {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -48,6 +48,8 @@
     private final Closer views = new Closer();
     private volatile boolean down;
     private volatile String downTopic = "";
+    private volatile String delayedTopic = "";
+    private volatile long delayMillis;
     private volatile long ignoredBeforeMillis = Long.MIN_VALUE;
     private String holder;
     private long generation;
@@ -102,6 +104,14 @@
         downTopic = topic;
     }
 
+    /**
+     * Delays the answers to reads of a topic from now on: they show what the topic held when the read came.
+     */
+    public void delayAnswers(String topic, long millis) {
+        delayedTopic = topic;
+        delayMillis = millis;
+    }
+
     /**
      * Never responds to the long polls that are waiting now, as if their network path had failed silently.
      */
@@ -252,7 +262,16 @@
         ByteBuf body = Unpooled.buffer().writeLong(records.size()).writeLong(0);
         records.subList(Math.min(from, records.size()), records.size())
                 .forEach(record -> body.writeInt(record.length).writeBytes(record));
-        response.sendFull(200, new DefaultHttpHeaders(), body);
+        long millis = field(query, "Topic").equals(delayedTopic) ? delayMillis : 0;
+        if (millis == 0) {
+            response.sendFull(200, new DefaultHttpHeaders(), body);
+        } else {
+            loops.loop()
+                    .schedule(
+                            () -> response.sendFull(200, new DefaultHttpHeaders(), body),
+                            millis,
+                            TimeUnit.MILLISECONDS);
+        }
     }
 
     private static String field(QueryStringDecoder query, String name) {
--- a/policy/src/main/java/org/ragwortpitch/resumption/ListedVersions.java
+++ b/policy/src/main/java/org/ragwortpitch/resumption/ListedVersions.java
@@ -2,32 +2,27 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.ragwortpitch.identity.SoftwareVersion;
 
 /**
- * The software versions that the engines of a pool have had lately, as far as this daemon has seen them listed.
- * Confined to one thread.
+ * The software versions that the engines of a pool have had lately, as far as this daemon has seen them listed. A
+ * reading proves something of a stream only if it was sent after the attempt that takes the stream up had arrived: the
+ * engine that began the stream was listed before then. When the answer is handled proves nothing, as it may have been
+ * delayed on its way, or waited while the daemon stood still. Confined to one thread.
  */
 public final class ListedVersions {
 
     /** How long a version that is no longer listed may have begun streams that callers take up, in milliseconds. */
     static final long MAX_STREAM_MILLIS = 30_000;
 
-    /**
-     * Age up to which a reading of the list counts as current, in milliseconds. Daemons read it at shorter intervals,
-     * and none sends to an engine within 1.5 s of its first listing while it has others.
-     */
-    static final long MAX_AGE_MILLIS = 3_000;
-
     private final Map<SoftwareVersion, Long> lastListedMillis = new HashMap<>();
     private final boolean firstStart;
     private Set<SoftwareVersion> listed = Set.of();
     private boolean isRead;
-    private long readMillis;
+    private long sentMillis;
     private long watchedSinceMillis;
 
     /**
@@ -42,31 +37,63 @@
     /**
      * Records that the list was read.
      *
-     * @param versions the versions of all engines in it, also of those that are leaving
+     * @param versions     the versions of all engines in it, also of those that are leaving
+     * @param since        the versions of engines that were listed at any time since the previous reading
+     * @param continuous   whether the reading shows all changes since the previous one, not just the present list
+     * @param readSentMillis when the reading was sent
      */
-    public void read(Collection<SoftwareVersion> versions, long nowMillis) {
+    public void read(
+            Collection<SoftwareVersion> versions,
+            Collection<SoftwareVersion> since,
+            boolean continuous,
+            long readSentMillis,
+            long nowMillis) {
         if (!isRead) {
             watchedSinceMillis = firstStart ? nowMillis - MAX_STREAM_MILLIS : nowMillis;
-        } else if (nowMillis - readMillis > MAX_AGE_MILLIS) {
-            // Versions may have come and gone unseen between two readings that are far apart.
+        } else if (!continuous) {
+            // Versions may have come and gone unseen.
             watchedSinceMillis = nowMillis;
         }
         isRead = true;
-        readMillis = nowMillis;
+        sentMillis = readSentMillis;
         listed.forEach(version -> lastListedMillis.put(version, nowMillis));
-        listed = new HashSet<>(versions);
+        since.forEach(version -> lastListedMillis.put(version, nowMillis));
+        listed = Set.copyOf(versions);
         listed.forEach(version -> lastListedMillis.put(version, nowMillis));
         lastListedMillis.values().removeIf(atMillis -> nowMillis - atMillis > MAX_STREAM_MILLIS);
     }
 
     /**
-     * Returns the only version that can have begun a stream which is taken up now; empty if there may be several.
+     * Returns the only version that can have begun a stream; empty if there may be several.
+     *
+     * @param arrivedMillis when the attempt that takes the stream up arrived
      */
-    public Optional<SoftwareVersion> only(long nowMillis) {
-        boolean isCurrent = isRead && nowMillis - readMillis <= MAX_AGE_MILLIS;
-        boolean isWatched = nowMillis - watchedSinceMillis >= MAX_STREAM_MILLIS;
-        return isCurrent && isWatched && lastListedMillis.size() == 1 && listed.size() == 1
+    public Optional<SoftwareVersion> only(long arrivedMillis, long nowMillis) {
+        return isReadSince(arrivedMillis) && isOne(nowMillis)
                 ? Optional.of(listed.iterator().next())
                 : Optional.empty();
     }
+
+    /**
+     * Returns whether another reading may show the only version that can have begun a stream.
+     *
+     * @param arrivedMillis when the attempt that takes the stream up arrived
+     */
+    public boolean awaitsReading(long arrivedMillis, long nowMillis) {
+        return !isReadSince(arrivedMillis) && isOne(nowMillis);
+    }
+
+    /**
+     * An attempt that arrives within the same millisecond takes up a stream that had begun before: its engine had to be
+     * read in the list first, and its first event to reach the caller.
+     */
+    private boolean isReadSince(long arrivedMillis) {
+        return isRead && sentMillis >= arrivedMillis;
+    }
+
+    private boolean isOne(long nowMillis) {
+        return nowMillis - watchedSinceMillis >= MAX_STREAM_MILLIS
+                && lastListedMillis.size() == 1
+                && listed.size() == 1;
+    }
 }
--- a/policy/src/test/java/org/ragwortpitch/resumption/ResumptionHistoryTest.java
+++ b/policy/src/test/java/org/ragwortpitch/resumption/ResumptionHistoryTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -17,8 +18,8 @@
 
 /**
  * Guards against streams that go on at another software version than the one that began them, and against a fleet that
- * refuses most streams instead, while versions come and go, daemons restart, lose gossip and are cut off from the
- * store, from each other, or from both.
+ * refuses most streams instead, while versions come and go, daemons restart, stand still, lose gossip and are cut off
+ * from the store, from each other, or from both, and answers of the store are delayed.
  */
 class ResumptionHistoryTest {
 
@@ -39,14 +40,17 @@
 
     private static final int MAX_WAIT_MILLIS = 300;
 
-    /** Streams that may hold events of two versions in one history. */
-    private static final int MAX_MIXED = 2;
+    /** Streams of two versions in one history above which it shows a fault; a control has more. */
+    private static final int MAX_MIXED = 0;
+
+    /** Longest that an answer of the store may take on its way, in milliseconds. */
+    private static final int MAX_DELAY_MILLIS = 3_000;
 
     @ParameterizedTest
     @CsvSource({"1, 40, 7", "1001, 20, 16", "2001, 40, 2"})
     void testStreamsGoOnAtTheirVersion(long firstSeed, int historyCount, int daemons) {
         for (long seed = firstSeed; seed < firstSeed + historyCount; seed++) {
-            History history = new History(seed, daemons, true, false);
+            History history = new History(seed, daemons, true, Rule.READ_AFTER_ARRIVAL);
             history.run();
             assertTrue(history.mixed <= MAX_MIXED, "seed " + seed + ": " + history.mixed + " streams mixed");
             assertTrue(
@@ -58,7 +62,7 @@
     /** Shows that the histories are hard enough: daemons that take any version for an unknown one mix streams. */
     @Test
     void testDaemonsThatGuessMixStreams() {
-        History history = new History(1, 7, false, true);
+        History history = new History(1, 7, false, Rule.GUESS);
         history.run();
         assertTrue(history.mixed > MAX_MIXED, history.mixed + " streams mixed");
     }
@@ -66,20 +70,47 @@
     /** Shows that gossip is needed: daemons that know only their own streams refuse most of the others. */
     @Test
     void testDaemonsThatDoNotTellRefuseStreams() {
-        History history = new History(1, 7, false, false);
+        History history = new History(1, 7, false, Rule.READ_AFTER_ARRIVAL);
         history.run();
         assertTrue(2 * history.wentOn < history.takenUp, history.wentOn + " of " + history.takenUp + " went on");
         assertEquals(0, history.mixed, "streams mixed");
     }
 
+    /**
+     * Shows that a daemon out of step mixes streams if it takes a reading for current that was handled, but not sent,
+     * a short while ago.
+     */
+    @Test
+    void testDaemonsThatStampReadingsWhenTheyHandleThemMixStreams() {
+        int mixed = 0;
+        for (long seed = 1; seed <= 40; seed++) {
+            History history = new History(seed, 7, true, Rule.HANDLED_LATELY);
+            history.run();
+            mixed += history.mixed;
+        }
+        assertTrue(mixed > MAX_MIXED, mixed + " streams mixed");
+    }
+
+    /** How a daemon finds the version of a stream whose origin it doesn't know. */
+    private enum Rule {
+        /** Takes the only version of a reading that was sent after the attempt had arrived. */
+        READ_AFTER_ARRIVAL,
+        /** Takes the only version of a reading that was handled within the last three seconds. */
+        HANDLED_LATELY,
+        /** Takes any listed version. */
+        GUESS
+    }
+
     /** One random history. */
     private static final class History {
 
         private final Random random;
         private final boolean gossip;
-        private final boolean guess;
+        private final Rule rule;
+        private final long firstChangeMillis;
         private final List<Member> members = new ArrayList<>();
         private final List<Message> messages = new ArrayList<>();
+        private final List<SoftwareVersion> listings = new ArrayList<>(List.of(new SoftwareVersion("v1")));
         private final Map<SoftwareVersion, Long> servingSinceMillis =
                 new TreeMap<>((one, other) -> one.value().compareTo(other.value()));
         private final List<Attempt> attempts = new ArrayList<>();
@@ -89,10 +120,11 @@
         private int takenUp;
         private int wentOn;
 
-        History(long seed, int daemons, boolean gossip, boolean guess) {
+        History(long seed, int daemons, boolean gossip, Rule rule) {
             this.random = new Random(seed);
             this.gossip = gossip;
-            this.guess = guess;
+            this.rule = rule;
+            this.firstChangeMillis = random.nextBoolean() ? 6_000 : 18_000;
             for (int daemon = 0; daemon < daemons; daemon++) {
                 members.add(new Member(true));
             }
@@ -101,13 +133,7 @@
         void run() {
             servingSinceMillis.put(new SoftwareVersion("v1"), -(long) SETTLING_MILLIS);
             for (int step = 0; nowMillis < HISTORY_MILLIS; step++, nowMillis += STEP_MILLIS) {
-                if (nowMillis % 12_000 == 6_000) {
-                    servingSinceMillis.put(new SoftwareVersion("v" + (2 + nowMillis / 12_000)), nowMillis);
-                }
-                if (nowMillis % 12_000 == 11_000 && servingSinceMillis.size() > 1 && random.nextBoolean()) {
-                    servingSinceMillis.remove(
-                            servingSinceMillis.keySet().iterator().next());
-                }
+                changeVersions();
                 injectFaults();
                 members.forEach(this::read);
                 exchangeGossip(step);
@@ -116,15 +142,35 @@
             }
         }
 
+        private void changeVersions() {
+            if (nowMillis % 12_000 == 6_000 && nowMillis >= firstChangeMillis) {
+                list(new SoftwareVersion("v" + (2 + nowMillis / 12_000)));
+            }
+            if (nowMillis % 12_000 == 11_000 && servingSinceMillis.size() > 1 && random.nextBoolean()) {
+                servingSinceMillis.remove(servingSinceMillis.keySet().iterator().next());
+            }
+        }
+
+        private void list(SoftwareVersion version) {
+            servingSinceMillis.put(version, nowMillis);
+            listings.add(version);
+        }
+
         private void injectFaults() {
             if (random.nextInt(100) == 0) {
                 int index = random.nextInt(members.size());
                 Member member = members.get(index);
                 long untilMillis = nowMillis + random.nextInt(8_000);
-                switch (random.nextInt(4)) {
+                switch (random.nextInt(6)) {
                     case 0 -> {
                         members.set(index, new Member(false));
                         members.get(index).upFromMillis = nowMillis + 1_500;
+                        members.get(index).listingsRead = listings.size();
+                    }
+                    case 4 -> member.frozenUntilMillis = untilMillis;
+                    case 5 -> {
+                        member.delayedUntilMillis = untilMillis;
+                        member.noGossipUntilMillis = untilMillis;
                     }
                     case 1 -> member.noStoreUntilMillis = untilMillis;
                     case 2 -> member.noGossipUntilMillis = untilMillis;
@@ -136,18 +182,39 @@
             }
         }
 
+        /** Sends a reading that is due, or handles the answer to the one that was sent. */
         private void read(Member member) {
-            if (member.isUp(nowMillis)
+            if (!member.isUp(nowMillis)) {
+                return;
+            }
+            if (member.reading != null && member.reading.handledMillis <= nowMillis) {
+                handle(member, member.reading);
+                member.reading = null;
+            }
+            if (member.reading == null
                     && member.noStoreUntilMillis <= nowMillis
                     && member.nextReadMillis <= nowMillis) {
                 member.nextReadMillis = nowMillis + READ_MILLIS;
-                member.listed = Set.copyOf(servingSinceMillis.keySet());
-                member.versions.read(member.listed, nowMillis);
-                member.seen.keySet().retainAll(member.listed);
-                member.listed.forEach(version -> member.seen.putIfAbsent(version, nowMillis));
+                boolean isDelayed = member.delayedUntilMillis > nowMillis;
+                member.reading = new Reading(
+                        Set.copyOf(servingSinceMillis.keySet()),
+                        Set.copyOf(listings.subList(member.listingsRead, listings.size())),
+                        nowMillis,
+                        nowMillis + STEP_MILLIS + (isDelayed ? random.nextInt(MAX_DELAY_MILLIS) : 0));
+                member.listingsRead = listings.size();
             }
         }
 
+        private void handle(Member member, Reading reading) {
+            member.versions.read(reading.listed, reading.since, true, reading.sentMillis, nowMillis);
+            member.handledMillis = nowMillis;
+            member.listed = reading.listed;
+            member.seen.keySet().retainAll(member.listed);
+            // A daemon that has just started takes no engine for new.
+            long seenMillis = member.seen.isEmpty() ? nowMillis - SETTLING_MILLIS : nowMillis;
+            member.listed.forEach(version -> member.seen.putIfAbsent(version, seenMillis));
+        }
+
         private void exchangeGossip(int step) {
             for (int from = 0; gossip && from < members.size(); from++) {
                 Member sender = members.get(from);
@@ -165,7 +232,7 @@
                 }
             }
             messages.removeIf(message -> {
-                boolean due = message.atMillis <= nowMillis;
+                boolean due = message.atMillis <= nowMillis && message.to.frozenUntilMillis <= nowMillis;
                 if (due && message.to.isUp(nowMillis) && message.to.noGossipUntilMillis <= nowMillis) {
                     message.origins.forEach(origin -> message.to.origins.learn(origin, nowMillis));
                 }
@@ -194,6 +261,21 @@
             });
         }
 
+        private Optional<SoftwareVersion> unknown(Member member, Attempt attempt) {
+            return switch (rule) {
+                case GUESS -> member.listed.stream().findAny();
+                case HANDLED_LATELY -> nowMillis - member.handledMillis <= MAX_DELAY_MILLIS
+                        ? member.versions.only(Long.MIN_VALUE, nowMillis)
+                        : Optional.empty();
+                case READ_AFTER_ARRIVAL -> {
+                    if (member.versions.awaitsReading(attempt.handledMillis, nowMillis)) {
+                        member.nextReadMillis = nowMillis;
+                    }
+                    yield member.versions.only(attempt.handledMillis, nowMillis);
+                }
+            };
+        }
+
         private void advance(Attempt attempt) {
             if (nowMillis < attempt.nextMillis) {
                 return;
@@ -215,7 +297,6 @@
             }
             if (attempt.member == null) {
                 attempt.member = anyMember().orElse(null);
-                attempt.takenUpMillis = nowMillis;
                 if (attempt.member == null) {
                     attempts.remove(attempt);
                     return;
@@ -226,11 +307,15 @@
 
         private void takeUp(Attempt attempt) {
             Member member = attempt.member;
-            Optional<SoftwareVersion> version = member.origins
-                    .versionOf(attempt.stream, nowMillis)
-                    .or(() -> member.versions.only(nowMillis))
-                    .or(() -> guess ? member.listed.stream().findAny() : Optional.empty());
-            if (version.isEmpty() && nowMillis < attempt.takenUpMillis + MAX_WAIT_MILLIS) {
+            if (!member.isUp(nowMillis)) {
+                return;
+            }
+            if (attempt.handledMillis < 0) {
+                attempt.handledMillis = nowMillis;
+            }
+            Optional<SoftwareVersion> version =
+                    member.origins.versionOf(attempt.stream, nowMillis).or(() -> unknown(member, attempt));
+            if (version.isEmpty() && nowMillis < attempt.handledMillis + MAX_WAIT_MILLIS) {
                 return;
             }
             attempts.remove(attempt);
@@ -245,6 +330,10 @@
         }
     }
 
+    /** An answer of the store on its way to a daemon. */
+    private record Reading(
+            Set<SoftwareVersion> listed, Set<SoftwareVersion> since, long sentMillis, long handledMillis) {}
+
     private record Message(Member to, long atMillis, List<StreamOrigin> origins) {}
 
     /** An attempt that begins a stream, or, with a deadline, one that takes it up. */
@@ -255,7 +344,7 @@
         private final long nextMillis;
         private Member member;
         private long deadlineMillis;
-        private long takenUpMillis;
+        private long handledMillis = -1;
 
         Attempt(StreamId stream, SoftwareVersion version, Member member, long nextMillis) {
             this.stream = stream;
@@ -276,19 +365,29 @@
         private long upFromMillis = -CONTACT_MILLIS;
         private long noStoreUntilMillis = -CONTACT_MILLIS;
         private long noGossipUntilMillis = -CONTACT_MILLIS;
+        private long frozenUntilMillis = -CONTACT_MILLIS;
+        private long delayedUntilMillis = -CONTACT_MILLIS;
+        private long handledMillis = -CONTACT_MILLIS;
         private long nextReadMillis;
+        private int listingsRead;
+        private Reading reading;
 
         Member(boolean firstStart) {
             versions = new ListedVersions(firstStart);
         }
 
         boolean isUp(long nowMillis) {
-            return upFromMillis <= nowMillis;
+            return upFromMillis <= nowMillis && frozenUntilMillis <= nowMillis;
         }
 
         boolean isInTouch(long nowMillis) {
-            return Math.max(upFromMillis, Math.max(noStoreUntilMillis, noGossipUntilMillis))
-                    <= nowMillis - CONTACT_MILLIS;
+            return LongStream.of(
+                            upFromMillis,
+                            noStoreUntilMillis,
+                            noGossipUntilMillis,
+                            frozenUntilMillis,
+                            delayedUntilMillis)
+                    .allMatch(atMillis -> atMillis <= nowMillis - CONTACT_MILLIS);
         }
     }
 }
