--- a/edge/src/main/java/org/ragwortpitch/edge/log/QueuedLog.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/log/QueuedLog.java
@@ -45,9 +45,11 @@
     }
 
     /**
-     * Replaces all handlers of the root logger by a new one.
+     * Replaces all handlers of the root logger by a new one, which lasts until the process has ended if no logger was
+     * created before.
      */
     public static QueuedLog install(Formatter formatter, PrintStream out) {
+        System.setProperty(LastingLogManager.PROPERTY, LastingLogManager.class.getName());
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
--- a/soak/src/test/java/org/ragwortpitch/soak/DaemonUnderTest.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/DaemonUnderTest.java
@@ -128,6 +128,11 @@
         return process.isAlive();
     }
 
+    /** Returns what all runs of the daemon have logged so far. */
+    String logged() throws IOException {
+        return Files.exists(log) ? Files.readString(log) : "";
+    }
+
     String name() {
         return name;
     }
