--- a/edge/src/test/java/org/ragwortpitch/edge/StreamVersionTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StreamVersionTest.java
@@ -39,8 +39,10 @@
 
     private static final int STREAMS = 20;
 
-    private static final long DELAY_MILLIS = 2_800;
+    /** How long answers of the store are on their way to a daemon out of step, in milliseconds. */
+    private static final long DELAY_MILLIS = 1_400;
 
+    /** How long after the listing of an engine other daemons begin streams there, in milliseconds. */
     private static final long SETTLING_MILLIS = 1_500;
 
     /** How long daemons may take to learn of each other and of engines, in milliseconds. */
@@ -283,9 +285,8 @@
         Edge edge = daemons.start("front-1");
         TestDaemons.await(() -> resume(edge, "unknown", Map.of(1, "v1")).size() == LAST_EVENT - 1);
         store.delayAnswers("keyed.servers", DELAY_MILLIS);
-        Thread.sleep(CONTACT_MILLIS);
+        TestDaemons.await(() -> store.delayedReads() > 1);
         engines.get("v2").forEach(engine -> engine.list(store, "llm", "decode", "ready"));
-        // Other daemons send to an engine 1.5 s after its listing.
         Thread.sleep(SETTLING_MILLIS);
         for (int stream = 0; stream < STREAMS; stream++) {
             Map<Integer, String> events = resume(edge, "unknown-" + stream, Map.of(1, "v2"));
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.Headers;
@@ -50,6 +51,7 @@
     private volatile String downTopic = "";
     private volatile String delayedTopic = "";
     private volatile long delayMillis;
+    private final AtomicInteger delayedReads = new AtomicInteger();
     private volatile long ignoredBeforeMillis = Long.MIN_VALUE;
     private String holder;
     private long generation;
@@ -112,6 +114,13 @@
         delayMillis = millis;
     }
 
+    /**
+     * Returns how many answers have been delayed.
+     */
+    public int delayedReads() {
+        return delayedReads.get();
+    }
+
     /**
      * Never responds to the long polls that are waiting now, as if their network path had failed silently.
      */
@@ -266,6 +275,7 @@
         if (millis == 0) {
             response.sendFull(200, new DefaultHttpHeaders(), body);
         } else {
+            delayedReads.incrementAndGet();
             loops.loop()
                     .schedule(
                             () -> response.sendFull(200, new DefaultHttpHeaders(), body),
