Have three daemons read the store closely on behalf of all

Only they join the duties' group and keep the short waits; the others wait as long as ContactMs allows, and read again at once when gossip tells of a version that they lack. Records that are announced in a row are read together. Nobody leads: a daemon that hears no reader is one.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -20,6 +20,7 @@
 import org.ragwortpitch.contact.PoolContact;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.deployment.Daemon;
+import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.draining.DrainWindow;
 import org.ragwortpitch.edge.control.Control;
 import org.ragwortpitch.edge.directory.AddressDirectory;
@@ -34,6 +35,7 @@
 import org.ragwortpitch.edge.peer.GossipSocket;
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.edge.peer.StoreContact;
 import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.edge.traffic.AccountRateLimits;
 import org.ragwortpitch.edge.traffic.EndpointContacts;
@@ -114,6 +116,7 @@
     private final Gossiper gossiper;
     private final StoreUpdates storeUpdates;
     private volatile InstanceSettings.Bounds bounds;
+    private final long createdMillis;
     private long gossipStep;
 
     /**
@@ -128,6 +131,7 @@
         this.bounds = settings.bounds();
         this.clockMillis = clockMillis;
         this.wallMillis = wallMillis;
+        this.createdMillis = clockMillis.getAsLong();
         this.median = new MedianClock(clockMillis.getAsLong(), wallMillis.getAsLong());
         this.peers = new PeerView(settings.instance(), settings.domain());
         trafficLoop = newEventLoop();
@@ -152,7 +156,7 @@
                 settings.domain(),
                 ConnectionPool.hostAndPort(front.address()),
                 ConnectionPool.hostAndPort(socket.address()));
-        gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced);
+        gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced, this::onDeploymentAnnounced);
         storeUpdates = newStoreUpdates();
         ready = listen(settings.readyAddress(), query -> readiness());
         directory = listen(settings.directoryAddress(), newAddressDirectory()::answer);
@@ -171,7 +175,12 @@
     }
 
     private PeerStatus status() {
-        return new PeerStatus(isReady(), proxied.address().getPort(), contacts.lostPools());
+        long version = gateway.deployment().map(Deployment::version).orElse(0L);
+        return new PeerStatus(
+                isReady(),
+                proxied.address().getPort(),
+                contacts.lostPools(),
+                new StoreContact(storeUpdates.storeReachable(), version));
     }
 
     private void probe(String address) {
@@ -194,6 +203,10 @@
         controlLoop.execute(() -> control.endpointsChanged(offset));
     }
 
+    private void onDeploymentAnnounced(long version) {
+        controlLoop.execute(() -> control.deploymentAnnounced(version));
+    }
+
     private GossipContext gossipContext() {
         return new GossipContext(
                 self,
@@ -294,8 +307,8 @@
                 USAGE_MILLIS,
                 USAGE_MILLIS,
                 TimeUnit.MILLISECONDS);
-        TrafficReports reports =
-                new TrafficReports(controlLoop, control, table, demands, gossiper, this::isCutOffAlone, clockMillis);
+        TrafficReports reports = new TrafficReports(
+                controlLoop, control, table, demands, gossiper, this::isCutOffAlone, this::isStoreReader, clockMillis);
         trafficLoop.scheduleWithFixedDelay(
                 FaultBarrier.around("report traffic", reports::publish),
                 SAMPLE_MILLIS,
@@ -409,6 +422,11 @@
         controlLoop.execute(() -> control.recordPoison(cause, record));
     }
 
+    private boolean isStoreReader() {
+        long now = clockMillis.getAsLong();
+        return peers.isStoreReader(now - createdMillis, now);
+    }
+
     private boolean isCutOffAlone() {
         return status().isCutOff(table.pools()) && peers.anyInContact(table.pools(), clockMillis.getAsLong());
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
@@ -31,6 +31,7 @@
     private final LongSupplier medianMillis;
     private Collection<Endpoint> endpoints = List.of();
     private boolean endpointsKnown;
+    private boolean storeReachable;
 
     StoreUpdates(
             EventLoop trafficLoop,
@@ -58,6 +59,18 @@
         return endpointsKnown;
     }
 
+    /**
+     * Returns whether the store answers this daemon. Called on the traffic thread.
+     */
+    boolean storeReachable() {
+        return storeReachable;
+    }
+
+    @Override
+    public void onStoreReachable(boolean reachable) {
+        trafficLoop.execute(() -> storeReachable = reachable);
+    }
+
     @Override
     public void onDeployment(Deployment deployment) {
         trafficLoop.execute(() -> {
--- a/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
@@ -20,6 +20,7 @@
  * Reports to the control thread what the traffic thread sees.
  *
  * @param cutOffAlone whether this daemon reaches no endpoint while another daemon does
+ * @param storeReader whether this daemon reads the store closely on behalf of all
  * @param clockMillis the monotonic clock, in milliseconds
  */
 record TrafficReports(
@@ -29,6 +30,7 @@
         PoolDemands demands,
         Gossiper gossiper,
         BooleanSupplier cutOffAlone,
+        BooleanSupplier storeReader,
         LongSupplier clockMillis) {
 
     /**
@@ -39,13 +41,15 @@
         Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = gossiper.receivedCounts();
         Set<EndpointIncarnation> saidToLeave = table.saidToLeave();
         Set<EndpointId> resting = table.resting(clockMillis.getAsLong());
-        boolean suspendDuties = cutOffAlone.getAsBoolean();
+        boolean readsStore = storeReader.getAsBoolean();
+        boolean suspendDuties = !readsStore || cutOffAlone.getAsBoolean();
         controlLoop.execute(() -> {
             control.updateSaidToLeave(saidToLeave);
             control.updateResting(resting);
             control.updatePoolDemands(sample);
             control.updatePeerCounts(peerCounts);
             control.suspendDuties(suspendDuties);
+            control.readStoreClosely(readsStore);
         });
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -47,11 +47,26 @@
     private static final long DAEMONS_WAIT_MILLIS = 10_000;
 
     /**
-     * Long-poll timeout for the configuration, in milliseconds. Together with the response timeout, it detects a silent
-     * connection before the three seconds have passed after which an instance counts as connected again.
+     * Long-poll timeout for the configuration of a daemon that reads the store closely, in milliseconds. Together with
+     * the response timeout, it detects a silent connection within three seconds.
      */
     private static final long DEPLOYMENT_WAIT_MILLIS = 1_200;
 
+    /**
+     * The part of the time after which an instance counts as connected again that a waiting read leaves free, in
+     * milliseconds: the response timeout, and a new read.
+     */
+    private static final long DEPLOYMENT_READ_MARGIN_MILLIS = 1_800;
+
+    /** Longest long-poll timeout for the configuration, in milliseconds. */
+    private static final long MAX_DEPLOYMENT_WAIT_MILLIS = 10_000;
+
+    /** Time that a version which others have applied takes to come by the waiting read, in milliseconds. */
+    private static final long ANNOUNCED_WAIT_MILLIS = 250;
+
+    /** Readings for a version that others have applied; the usual ones go on after them. */
+    private static final int MAX_ANNOUNCED_READS = 8;
+
     /**
      * The part of the time allowed for acting on an endpoint's entry that the pause between reads leaves free, in
      * milliseconds: a response takes 4 ms, and a lost call is retried after 250 ms. Usually gossip from another daemon
@@ -90,6 +105,8 @@
     private Set<EndpointId> resting = Set.of();
     private Deployment deployment;
     private TopicFollower endpointsFollower;
+    private TopicFollower deploymentsFollower;
+    private boolean readsStoreClosely = true;
 
     /**
      * Creates a client of the store that is idle until {@link #start()}.
@@ -113,7 +130,7 @@
         this.self = self;
         this.listener = listener;
         this.clockMillis = clockMillis;
-        this.store = new StoreClient(caller, settings.storeAddress(), clockMillis, metrics);
+        this.store = new StoreClient(caller, settings.storeAddress(), clockMillis, metrics, listener::onStoreReachable);
         String incarnation = self.id().value() + "-" + self.startMillis();
         this.usage = new UsageWriter(loop, store, self);
         this.duties = new DutyRunner(
@@ -176,17 +193,18 @@
      */
     public void start() {
         register();
-        follow(StoreCodec.OPERATORS_TOPIC, 0, DEPLOYMENT_WAIT_MILLIS, this::applyDeployments, reading -> {});
+        deploymentsFollower = follow(
+                StoreCodec.OPERATORS_TOPIC, 0, this::deploymentWaitMillis, this::applyDeployments, reading -> {});
         long endpointsPauseMillis =
                 Math.max(ENDPOINTS_READ_MARGIN_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_READ_MARGIN_MILLIS);
         endpointsFollower = follow(
                 StoreCodec.ENDPOINTS_TOPIC,
                 endpointsPauseMillis,
-                0,
+                () -> 0,
                 this::applyEndpoints,
                 reading -> listener.onEndpointsRead(endpoints.reading(reading)));
-        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, DAEMONS_WAIT_MILLIS, this::applyDaemons, reading -> {});
-        follow(StoreCodec.POISON_TOPIC, 0, POISON_WAIT_MILLIS, this::applyPoison, reading -> {});
+        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, () -> DAEMONS_WAIT_MILLIS, this::applyDaemons, reading -> {});
+        follow(StoreCodec.POISON_TOPIC, 0, () -> POISON_WAIT_MILLIS, this::applyPoison, reading -> {});
         loop.scheduleWithFixedDelay(
                 FaultBarrier.around("drop missing endpoints", this::dropMissing),
                 MISSING_CHECK_MILLIS,
@@ -290,6 +308,42 @@
         duties.suspend(suspended);
     }
 
+    /**
+     * Sets whether this daemon reads the store closely on behalf of all; the others detect a silent connection later,
+     * and are told of what they miss.
+     */
+    public void readStoreClosely(boolean closely) {
+        if (closely && !readsStoreClosely && deploymentsFollower != null) {
+            deploymentsFollower.readAgain();
+        }
+        readsStoreClosely = closely;
+    }
+
+    private long deploymentWaitMillis() {
+        long allowedMillis = settings.bounds().contactMillis() - DEPLOYMENT_READ_MARGIN_MILLIS;
+        return readsStoreClosely
+                ? DEPLOYMENT_WAIT_MILLIS
+                : Math.min(MAX_DEPLOYMENT_WAIT_MILLIS, Math.max(DEPLOYMENT_WAIT_MILLIS, allowedMillis));
+    }
+
+    /**
+     * Reads the configuration anew unless a version that another daemon has applied comes by the reading under way.
+     */
+    public void deploymentAnnounced(long version) {
+        scheduleAnnouncedRead(version, MAX_ANNOUNCED_READS);
+    }
+
+    private void scheduleAnnouncedRead(long version, int readsLeft) {
+        loop.schedule(() -> readAnnounced(version, readsLeft), ANNOUNCED_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void readAnnounced(long version, int readsLeft) {
+        if (readsLeft > 0 && deploymentsFollower != null && (deployment == null || deployment.version() < version)) {
+            deploymentsFollower.readAgain();
+            scheduleAnnouncedRead(version, readsLeft - 1);
+        }
+    }
+
     /**
      * Releases the duties and leaves their group.
      *
@@ -320,7 +374,7 @@
     private TopicFollower follow(
             String topic,
             long pauseMillis,
-            long waitMillis,
+            LongSupplier waitMillis,
             RecordConsumer consumer,
             Consumer<TopicReading> afterRead) {
         TopicListener applying = new TopicListener() {
--- a/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
@@ -28,6 +28,11 @@
      */
     void onEndpointsRead(EndpointReading reading);
 
+    /**
+     * Called with each change of whether the store answers this daemon.
+     */
+    void onStoreReachable(boolean reachable);
+
     /**
      * Called with the endpoints that are switching roles on this daemon's orders.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -43,10 +43,11 @@
     private final Duty duty;
     private boolean acting;
     private boolean stopped;
-    private boolean suspended;
+    private boolean suspended = true;
+    private boolean joined;
 
     /**
-     * Creates a runner that joins the group on {@link #start()}.
+     * Creates a runner that joins the group once it is started and no longer suspended.
      *
      * @param member      unique name of this incarnation of the daemon
      * @param leaseMillis a clock that also counts the time for which the instance was frozen
@@ -99,6 +100,11 @@
 
     private void leaveGroup(Runnable done) {
         lease.release();
+        if (!joined) {
+            done.run();
+            return;
+        }
+        joined = false;
         store.call(StoreCodec.leave(GROUP, member), 0, response -> done.run(), reason -> done.run());
     }
 
@@ -110,6 +116,7 @@
             loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        joined = true;
         long sent = leaseMillis.getAsLong();
         store.call(
                 StoreCodec.join(GROUP, member, TOPIC, TTL_MILLIS, lease.generation()),
--- a/edge/src/main/java/org/ragwortpitch/edge/control/StoreClient.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/StoreClient.java
@@ -30,14 +30,26 @@
     private final String address;
     private final LongSupplier clockMillis;
     private final EdgeMetrics metrics;
+    private final Consumer<Boolean> onReachable;
     private boolean reachable;
     private long reachableSinceMillis;
 
-    StoreClient(BufferingHttpCaller caller, String address, LongSupplier clockMillis, EdgeMetrics metrics) {
+    /**
+     * Creates a client that has not reached the store yet.
+     *
+     * @param onReachable called with each change of whether the store is reachable
+     */
+    StoreClient(
+            BufferingHttpCaller caller,
+            String address,
+            LongSupplier clockMillis,
+            EdgeMetrics metrics,
+            Consumer<Boolean> onReachable) {
         this.caller = caller;
         this.address = address;
         this.clockMillis = clockMillis;
         this.metrics = metrics;
+        this.onReachable = onReachable;
     }
 
     /**
@@ -81,6 +93,7 @@
     private void markReachable(HttpCall call) {
         if (!reachable) {
             reachable = true;
+            onReachable.accept(true);
             reachableSinceMillis = clockMillis.getAsLong();
             Event.of("dependency-reached")
                     .with("dependency", "store")
@@ -92,6 +105,7 @@
     private void markUnreachable(HttpCall call, String reason) {
         if (reachable) {
             reachable = false;
+            onReachable.accept(false);
             metrics.recordDependencyLoss("store");
             Event.of("dependency-lost")
                     .with("dependency", "store")
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -30,19 +30,24 @@
     /** Shortest pause between two readings that are asked for, in milliseconds; calls are billed. */
     private static final long MIN_PAUSE_MILLIS = 50;
 
+    /** Shortest pause between two readings for announced records, in milliseconds: several come in a row. */
+    private static final long ANNOUNCED_PAUSE_MILLIS = 400;
+
     private static final int GONE = 410;
 
     private final EventLoop loop;
     private final StoreClient store;
     private final String topic;
     private final long pauseMillis;
-    private final long waitMillis;
+    private final LongSupplier waitMillis;
     private final LongSupplier clockMillis;
     private final TopicListener listener;
     private final FaultBarrier barrier;
     private long offset;
     private long announcedOffset = -1;
     private long sentMillis;
+    private long reads;
+    private boolean waiting;
     private ScheduledFuture<?> next;
 
     /**
@@ -57,7 +62,7 @@
             StoreClient store,
             String topic,
             long pauseMillis,
-            long waitMillis,
+            LongSupplier waitMillis,
             LongSupplier clockMillis,
             TopicListener listener) {
         this.loop = loop;
@@ -79,9 +84,26 @@
      * call while another reading is under way has to be repeated once that one is answered.
      */
     void readSoon() {
-        if (next != null && next.cancel(false)) {
-            long waitedMillis = clockMillis.getAsLong() - sentMillis;
-            next = schedule(Math.max(0, MIN_PAUSE_MILLIS - waitedMillis), this::read);
+        bringForward(MIN_PAUSE_MILLIS);
+    }
+
+    private void bringForward(long shortestPauseMillis) {
+        if (next == null) {
+            return;
+        }
+        long pausedMillis = clockMillis.getAsLong() - sentMillis;
+        long leftMillis = next.getDelay(TimeUnit.MILLISECONDS);
+        if (next.cancel(false)) {
+            next = schedule(Math.max(0, Math.min(leftMillis, shortestPauseMillis - pausedMillis)), this::read);
+        }
+    }
+
+    /**
+     * Replaces the reading that waits for records by one that doesn't, as its connection may have gone silent.
+     */
+    void readAgain() {
+        if (waiting) {
+            read(0);
         }
     }
 
@@ -90,9 +112,8 @@
      */
     void expediteRead(long announced) {
         announcedOffset = Math.max(announcedOffset, announced);
-        if (offset <= announcedOffset && next != null && next.cancel(false)) {
-            next = null;
-            read();
+        if (offset <= announcedOffset) {
+            bringForward(ANNOUNCED_PAUSE_MILLIS);
         }
     }
 
@@ -143,17 +164,32 @@
 
     private void read() {
         // The first read after a failure doesn't wait for records, so that the store's return shows at once.
-        long currentWaitMillis = store.isReachable() ? waitMillis : 0;
+        read(store.isReachable() ? waitMillis.getAsLong() : 0);
+    }
+
+    private void read(long currentWaitMillis) {
         next = null;
         sentMillis = clockMillis.getAsLong();
+        long read = ++reads;
+        waiting = currentWaitMillis > 0;
         store.call(
                 StoreCodec.read(topic, offset, currentWaitMillis),
                 currentWaitMillis,
-                this::onReadPage,
-                reason -> schedule(RETRY_MILLIS, this::read));
+                response -> {
+                    if (read == reads) {
+                        onReadPage(response);
+                    }
+                },
+                reason -> {
+                    if (read == reads) {
+                        waiting = false;
+                        schedule(RETRY_MILLIS, this::read);
+                    }
+                });
     }
 
     private void onReadPage(CallResponse response) {
+        waiting = false;
         if (response.status() == GONE) {
             start();
             return;
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerStatus.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerStatus.java
@@ -13,24 +13,27 @@
  * @param ready            whether it takes requests of callers
  * @param proxyPort        the TCP port on which it takes requests that other daemons can't serve; 0 if it takes none
  * @param unreachablePools the pools of which it reaches no endpoint
+ * @param store            its contact with the platform's store
  */
-public record PeerStatus(boolean ready, int proxyPort, Set<PoolId> unreachablePools) {
+public record PeerStatus(boolean ready, int proxyPort, Set<PoolId> unreachablePools, StoreContact store) {
 
     /**
      * Returns the status of a daemon that takes no requests of other daemons.
      */
     public static PeerStatus of(boolean ready) {
-        return new PeerStatus(ready, 0, Set.of());
+        return new PeerStatus(ready, 0, Set.of(), StoreContact.NONE);
     }
 
     /**
      * Decodes a status. What is not a port counts as none.
      */
-    public static PeerStatus decode(boolean ready, int proxyPort, Collection<String> unreachablePools) {
+    public static PeerStatus decode(
+            boolean ready, int proxyPort, Collection<String> unreachablePools, StoreContact store) {
         return new PeerStatus(
                 ready,
                 HostAndPort.isPort(proxyPort) ? proxyPort : 0,
-                unreachablePools.stream().map(PoolId::new).collect(Collectors.toUnmodifiableSet()));
+                unreachablePools.stream().map(PoolId::new).collect(Collectors.toUnmodifiableSet()),
+                store);
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -16,6 +16,7 @@
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.membership.StoreReaders;
 
 /**
  * The other daemons: which are listed, which are direct gossip peers, and when the last gossip about each was received.
@@ -55,6 +56,9 @@
     /** Most datagrams to other domains a second: at 3 KB each, as much traffic as to direct peers. */
     private static final int CROSS_DOMAIN_DATAGRAMS_PER_SECOND = 60;
 
+    /** Time after its start within which a daemon hears others if there are any, in milliseconds: two rounds. */
+    private static final long FIRST_GOSSIP_MILLIS = 2_000;
+
     private final InstanceId self;
     private final FailureDomain domain;
     private final int maxDirectFleet;
@@ -263,6 +267,25 @@
                 .toList();
     }
 
+    /**
+     * Returns whether this daemon reads the store closely on behalf of all.
+     *
+     * @param aliveMillis how long this daemon has run, in milliseconds
+     */
+    public boolean isStoreReader(long aliveMillis, long nowMillis) {
+        List<Daemon> heard = reachable(nowMillis).toList();
+        if (heard.isEmpty() && !listed.isEmpty() && aliveMillis < FIRST_GOSSIP_MILLIS) {
+            return false;
+        }
+        return StoreReaders.includes(
+                new StoreReaders.Candidate(self, domain),
+                heard.stream()
+                        .filter(daemon ->
+                                status(daemon).ready() && status(daemon).store().reachable())
+                        .map(daemon -> new StoreReaders.Candidate(daemon.id(), daemon.domain()))
+                        .toList());
+    }
+
     private Stream<Daemon> reachable(long nowMillis) {
         return listed.values().stream().filter(daemon -> isReachable(daemon.id(), nowMillis));
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -102,6 +102,7 @@
                         .setInstance(peer.value())
                         .setReady(status.ready())
                         .setProxyPort(status.proxyPort())
+                        .setStoreReachable(status.store().reachable())
                         .addAllUnreachablePools(status.unreachablePoolNames())));
         avoided.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         context.accounts()
@@ -128,6 +129,8 @@
                 .setReady(status.ready())
                 .setProxyPort(status.proxyPort())
                 .addAllUnreachablePools(status.unreachablePoolNames())
+                .setStoreReachable(status.store().reachable())
+                .setDeploymentVersion(status.store().deploymentVersion())
                 .setWallMillis(context.wallMillis().getAsLong());
         context.endpoints()
                 .saidToLeave()
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -15,6 +15,7 @@
 import org.ragwortpitch.deployment.PrefixBlock;
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.edge.peer.StoreContact;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.InstanceId;
@@ -51,6 +52,8 @@
     private final PeerCounts counts = new PeerCounts();
     private final LongConsumer onEndpointsChanged;
     private final Map<EndpointId, Long> peerAvoidedUntilMillis = new HashMap<>();
+    private final LongConsumer onDeploymentAnnounced;
+    private long announcedVersion;
     private Collection<EndpointId> setChangingEndpoints = List.of();
 
     /**
@@ -58,10 +61,17 @@
      *
      * @param send               sends a datagram to an address of the form host:port; datagrams may be lost
      * @param onEndpointsChanged called with the store offset of a change of the endpoints that this daemon has not read
+     * @param onDeploymentAnnounced called with each version of the configuration that another daemon is first heard to
+     *                              have applied
      */
-    public Gossiper(GossipContext context, BiConsumer<String, byte[]> send, LongConsumer onEndpointsChanged) {
+    public Gossiper(
+            GossipContext context,
+            BiConsumer<String, byte[]> send,
+            LongConsumer onEndpointsChanged,
+            LongConsumer onDeploymentAnnounced) {
         this.context = context;
         this.onEndpointsChanged = onEndpointsChanged;
+        this.onDeploymentAnnounced = onDeploymentAnnounced;
         this.peers = context.peers();
         this.send = send;
         this.writer = new GossipWriter(context);
@@ -108,6 +118,10 @@
         if (writer.advanceEndpointsChanged(gossip.getEndpointsChanged() - 1)) {
             onEndpointsChanged.accept(gossip.getEndpointsChanged() - 1);
         }
+        if (gossip.getDeploymentVersion() > announcedVersion) {
+            announcedVersion = gossip.getDeploymentVersion();
+            onDeploymentAnnounced.accept(announcedVersion);
+        }
         long now = context.clockMillis().getAsLong();
         // Crashes, limits, the origins of streams and endpoints that leave count whoever reports them, also before the
         // list of daemons is
@@ -187,8 +201,11 @@
         peers.recordRelayedState(domain, PeerStatus.of(true), now);
         peers.recordRelayedState(relay, status(gossip), now);
         for (HeardDaemon relayed : gossip.getHeardList()) {
-            PeerStatus status =
-                    PeerStatus.decode(relayed.getReady(), relayed.getProxyPort(), relayed.getUnreachablePoolsList());
+            PeerStatus status = PeerStatus.decode(
+                    relayed.getReady(),
+                    relayed.getProxyPort(),
+                    relayed.getUnreachablePoolsList(),
+                    new StoreContact(relayed.getStoreReachable(), 0));
             peers.recordRelayedState(new InstanceId(relayed.getInstance()), status, now);
         }
         context.agreed()
@@ -255,7 +272,11 @@
     }
 
     private static PeerStatus status(Gossip gossip) {
-        return PeerStatus.decode(gossip.getReady(), gossip.getProxyPort(), gossip.getUnreachablePoolsList());
+        return PeerStatus.decode(
+                gossip.getReady(),
+                gossip.getProxyPort(),
+                gossip.getUnreachablePoolsList(),
+                new StoreContact(gossip.getStoreReachable(), gossip.getDeploymentVersion()));
     }
 
     private EndpointState engine(EngineLoad load) {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
@@ -25,6 +25,26 @@
         return of(instance, storeAddress, bounds(0.2, 50, 2_000, 5_000), true);
     }
 
+    /**
+     * Returns settings under which a silent connection to the store may stay unnoticed for a while.
+     */
+    public static InstanceSettings withContact(String instance, String storeAddress, long contactMillis) {
+        InstanceSettings.Bounds usual = bounds(0.2, 50, 2_000, 5_000);
+        InstanceSettings.Bounds bounds = new InstanceSettings.Bounds(
+                contactMillis,
+                usual.drainMillis(),
+                usual.graceMillis(),
+                usual.retryRatio(),
+                usual.retrySlack(),
+                usual.retryWindowMillis(),
+                usual.requireFencing(),
+                usual.leaseMillis(),
+                usual.usageWindowMillis(),
+                usual.usageLateMillis(),
+                usual.maxTtlSeconds());
+        return of(instance, storeAddress, bounds, true);
+    }
+
     /**
      * Returns settings of a daemon whose fleet has started before.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -44,6 +44,7 @@
     private final Map<String, List<byte[]>> topics = new HashMap<>();
     private final List<String> duties = new CopyOnWriteArrayList<>();
     private final List<DutyCall> dutyCalls = new CopyOnWriteArrayList<>();
+    private final List<String> joins = new CopyOnWriteArrayList<>();
     private final Map<String, Long> memberExpiryMillis = new LinkedHashMap<>();
     private final FrontServer server;
     private final Closer views = new Closer();
@@ -142,6 +143,13 @@
         return dutyCalls;
     }
 
+    /**
+     * Returns the member of each call so far that joined the duties' group or renewed a membership.
+     */
+    public List<String> joins() {
+        return joins;
+    }
+
     /**
      * Appends a keyed record, as the operator or an endpoint does. Takes effect on the event loop.
      */
@@ -212,6 +220,7 @@
     private Map<String, Object> join(CallerRequest request) throws IOException {
         JsonNode joinRequest = MAPPER.readTree(request.body().toString(StandardCharsets.UTF_8));
         String member = joinRequest.path("Member").asText();
+        joins.add(member);
         long now = TestEventLoop.CLOCK_MILLIS.getAsLong();
         memberExpiryMillis.put(member, now + joinRequest.path("TtlMs").asLong());
         memberExpiryMillis.values().removeIf(expiry -> expiry < now);
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -59,6 +59,13 @@
         return start(Settings.at(instance, storeAddress));
     }
 
+    /**
+     * Starts a daemon that may notice a silent connection to the store late, and waits until it is ready.
+     */
+    public Edge startWithContact(String instance, long contactMillis) throws Exception {
+        return start(Settings.withContact(instance, store.address(), contactMillis));
+    }
+
     private Edge start(InstanceSettings settings) throws Exception {
         Edge edge = closer.add(new Edge(settings, 0, TestEventLoop.CLOCK_MILLIS, System::currentTimeMillis));
         edge.start();
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -31,6 +31,7 @@
 import org.ragwortpitch.edge.peer.GossipRound;
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.edge.peer.StoreContact;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
@@ -237,13 +238,13 @@
     @Test
     void testDaemonsOfAllDomainsLearnWhichPoolsADaemonReaches() {
         Member cut = members.get("a2");
-        PeerStatus status = new PeerStatus(true, 7_600, Set.of(POOL));
+        PeerStatus status = new PeerStatus(true, 7_600, Set.of(POOL), StoreContact.NONE);
         cut.status = status;
         advance(SECOND_MILLIS);
         for (String observer : List.of("a1", "b1", "b2")) {
             assertEquals(status, members.get(observer).peers.status(cut.self), observer);
         }
-        cut.status = new PeerStatus(true, 7_600, Set.of());
+        cut.status = new PeerStatus(true, 7_600, Set.of(), StoreContact.NONE);
         advance(SECOND_MILLIS);
         assertEquals(cut.status, members.get("b2").peers.status(cut.self));
     }
@@ -292,6 +293,7 @@
         private final EndpointTable endpoints;
         private final Gossiper gossiper;
         private long endpointsChanged = -1;
+        private long deploymentAnnounced;
         private PeerStatus status = PeerStatus.of(true);
 
         Member(String name) {
@@ -335,7 +337,8 @@
                     new MedianClock(nowMillis, nowMillis),
                     () -> nowMillis,
                     () -> nowMillis);
-            gossiper = new Gossiper(context, this::send, offset -> endpointsChanged = offset);
+            gossiper = new Gossiper(
+                    context, this::send, offset -> endpointsChanged = offset, version -> deploymentAnnounced = version);
         }
 
         void applyListing() {
