--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -130,7 +130,8 @@
         this.self = self;
         this.listener = listener;
         this.clockMillis = clockMillis;
-        this.store = new StoreClient(caller, settings.storeAddress(), clockMillis, metrics, listener::onStoreReachable);
+        this.store = new StoreClient(
+                loop, caller, settings.storeAddress(), clockMillis, metrics, listener::onStoreReachable);
         String incarnation = self.id().value() + "-" + self.startMillis();
         this.usage = new UsageWriter(loop, store, self);
         this.duties = new DutyRunner(
--- a/edge/src/main/java/org/ragwortpitch/edge/control/StoreClient.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/StoreClient.java
@@ -1,12 +1,18 @@
 package org.ragwortpitch.edge.control;
 
+import io.netty.channel.EventLoop;
 import java.lang.System.Logger;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.ragwortpitch.adapter.HttpCall;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.edge.http.CallResponse;
+import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.logging.Event;
 
 /**
@@ -26,11 +32,18 @@
 
     private static final int TOO_MANY_REQUESTS = 429;
 
+    /** Pause between two attempts while the store is unreachable, in milliseconds; calls that fail are billed too. */
+    private static final long PROBE_MILLIS = 250;
+
+    private final EventLoop loop;
     private final BufferingHttpCaller caller;
     private final String address;
+    private final FaultBarrier barrier = new FaultBarrier("retry");
     private final LongSupplier clockMillis;
     private final EdgeMetrics metrics;
     private final Consumer<Boolean> onReachable;
+    private final Deque<Runnable> retries = new ArrayDeque<>();
+    private boolean probing;
     private boolean reachable;
     private long reachableSinceMillis;
 
@@ -40,11 +53,13 @@
      * @param onReachable called with each change of whether the store is reachable
      */
     StoreClient(
+            EventLoop loop,
             BufferingHttpCaller caller,
             String address,
             LongSupplier clockMillis,
             EdgeMetrics metrics,
             Consumer<Boolean> onReachable) {
+        this.loop = loop;
         this.caller = caller;
         this.address = address;
         this.clockMillis = clockMillis;
@@ -79,6 +94,36 @@
                 });
     }
 
+    /**
+     * Repeats work whose call has failed. While the store is unreachable, one of the repeats that wait is tried every 250
+     * ms, in turn; once it answers, all are run.
+     */
+    void retry(Runnable repeat) {
+        retries.add(repeat);
+        if (!probing) {
+            probing = true;
+            loop.schedule(this::probe, PROBE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void probe() {
+        probing = false;
+        if (!retries.isEmpty()) {
+            Runnable repeat = retries.poll();
+            if (!retries.isEmpty()) {
+                probing = true;
+                loop.schedule(this::probe, PROBE_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            repeat.run();
+        }
+    }
+
+    private void runRetries() {
+        List<Runnable> waiting = List.copyOf(retries);
+        retries.clear();
+        waiting.forEach(repeat -> barrier.run("-", repeat));
+    }
+
     /**
      * Returns how long the store has answered without a failure, in milliseconds; 0 while it is unreachable.
      */
@@ -94,6 +139,7 @@
         if (!reachable) {
             reachable = true;
             onReachable.accept(true);
+            loop.execute(this::runRetries);
             reachableSinceMillis = clockMillis.getAsLong();
             Event.of("dependency-reached")
                     .with("dependency", "store")
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -24,7 +24,7 @@
 
     private static final Logger LOGGER = System.getLogger(TopicFollower.class.getName());
 
-    /** Pause after a failed call, in milliseconds; short compared to the deadlines that start at the store's return. */
+    /** Pause after an answer that can't be used, in milliseconds. */
     private static final long RETRY_MILLIS = 250;
 
     /** Shortest pause between two readings that are asked for, in milliseconds; calls are billed. */
@@ -125,7 +125,7 @@
                 StoreCodec.readCompacted(topic, after),
                 0,
                 response -> onLoadedPage(response, after, loaded, firstEnd),
-                reason -> schedule(RETRY_MILLIS, this::start));
+                reason -> store.retry(this::start));
     }
 
     private void onLoadedPage(CallResponse response, String after, List<KeyedRecord> loaded, long firstEnd) {
@@ -183,7 +183,7 @@
                 reason -> {
                     if (read == reads) {
                         waiting = false;
-                        schedule(RETRY_MILLIS, this::read);
+                        store.retry(this::read);
                     }
                 });
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageWriter.java
@@ -23,7 +23,7 @@
 
     private static final Logger LOGGER = System.getLogger(UsageWriter.class.getName());
 
-    /** Pause after a failed append, in milliseconds; several attempts fit before a window is frozen. */
+    /** Pause after a refused append, in milliseconds; several attempts fit before a window is frozen. */
     private static final long RETRY_MILLIS = 400;
 
     /** Most entries that are queued for the store; about five minutes of windows. */
@@ -82,20 +82,21 @@
                         pending.removeAll(batch);
                         send();
                     } else {
-                        retry("status " + response.status());
+                        logNotWritten("status " + response.status());
+                        loop.schedule(this::send, RETRY_MILLIS, TimeUnit.MILLISECONDS);
                     }
                 },
                 reason -> {
                     sending = false;
-                    retry(reason);
+                    logNotWritten(reason);
+                    store.retry(this::send);
                 });
     }
 
-    private void retry(String reason) {
+    private void logNotWritten(String reason) {
         Event.of("usage-not-written")
                 .with("entries", pending.size())
                 .with("reason", reason)
                 .info(LOGGER);
-        loop.schedule(this::send, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/StoreReadersFleetTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StoreReadersFleetTest.java
@@ -33,6 +33,12 @@
 
     private static final long WATCHED_MILLIS = 3_000;
 
+    /** Calls a second that a daemon may make while the store is away: four attempts, and one for the duties' group. */
+    private static final int MAX_CALLS_WHILE_AWAY = 5;
+
+    /** Time after its return within which the store's content is known again, in milliseconds. */
+    private static final long RETURN_MILLIS = 2_000;
+
     private static final String DEPLOYMENT =
             """
             {"Version":VERSION,"Routes":[
@@ -85,6 +91,28 @@
         TestDaemons.await(() -> renewing().equals(Set.of("front-4", "front-5")));
     }
 
+    /** Guards against a fleet that keeps calling while the store is away, or notices late that it is back. */
+    @Test
+    void testStoreThatIsAwayIsTriedSeldomAndItsReturnIsNoticed() throws Exception {
+        store.down(true);
+        Thread.sleep(WATCHED_MILLIS);
+        int before = store.refusedCalls();
+        Thread.sleep(WATCHED_MILLIS);
+        int calls = store.refusedCalls() - before;
+        assertTrue(
+                calls <= DAEMONS * MAX_CALLS_WHILE_AWAY * WATCHED_MILLIS / 1_000,
+                calls + " calls of " + DAEMONS + " daemons in " + WATCHED_MILLIS + " ms");
+        store.put("keyed.op", "config", deployment(2, "look"));
+        store.down(false);
+        Thread.sleep(RETURN_MILLIS);
+        for (Edge edge : fleet) {
+            assertEquals(
+                    200,
+                    daemons.ask(edge, "/look/x", Optional.empty()).get().statusCode(),
+                    "a version is applied soon after the store's return");
+        }
+    }
+
     /** Guards against a daemon that keeps an old configuration for as long as its silent connection goes unnoticed. */
     @Test
     void testVersionIsAppliedByAllAlthoughTheirConnectionsAreSilent() throws Exception {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -53,6 +53,7 @@
     private volatile String delayedTopic = "";
     private volatile long delayMillis;
     private final AtomicInteger delayedReads = new AtomicInteger();
+    private final AtomicInteger refusedCalls = new AtomicInteger();
     private volatile long ignoredBeforeMillis = Long.MIN_VALUE;
     private String holder;
     private long generation;
@@ -100,6 +101,13 @@
         down = isDown;
     }
 
+    /**
+     * Returns how many calls it has refused as it was down.
+     */
+    public int refusedCalls() {
+        return refusedCalls.get();
+    }
+
     /**
      * Refuses all calls that name a topic with 503 from now on; serves all topics if the name is empty.
      */
@@ -165,6 +173,7 @@
     private Cancellation handle(CallerRequest request, CallerResponse response, UnaryOperator<String> endpointEntries) {
         QueryStringDecoder query = new QueryStringDecoder(request.target());
         if (down || query.parameters().getOrDefault("Topic", List.of()).contains(downTopic)) {
+            refusedCalls.incrementAndGet();
             response.sendFull(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
             return Cancellation.NONE;
         }
