--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -125,7 +125,7 @@
                     loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
                     onJoined(response, sent);
                 },
-                reason -> loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS));
+                reason -> store.retry(this::renew));
     }
 
     private void onJoined(CallResponse response, long sentMillis) {
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageWriter.java
@@ -87,9 +87,11 @@
                     }
                 },
                 reason -> {
-                    sending = false;
                     logNotWritten(reason);
-                    store.retry(this::send);
+                    store.retry(() -> {
+                        sending = false;
+                        send();
+                    });
                 });
     }
 
--- a/soak/src/test/java/org/ragwortpitch/soak/DaemonProcessTest.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/DaemonProcessTest.java
@@ -1,14 +1,23 @@
 package org.ragwortpitch.soak;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.UUID;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
 import org.ragwortpitch.edge.standin.TestDaemons;
 import org.ragwortpitch.standin.FaultProxy;
@@ -20,14 +29,34 @@
 
     private static final int NETWORKS = 250;
 
+    private static final int STREAMS = 5;
+
+    /** How long the store's answers are on their way, in milliseconds. */
+    private static final long DELAY_MILLIS = 1_000;
+
+    private static final long STANDSTILL_MILLIS = 3_000;
+
+    private static final String DEPLOYMENT =
+            """
+            {"Version":1,"Routes":[
+            {"Name":"ask","Host":"IP","PathPrefix":"/ask/","Kind":"streaming","TimeoutMs":4000,
+            "TargetLatencyMs":2000,"Service":"llm","MaxAttempts":1,"AllowResume":true,"TargetGapMs":150}],
+            "Services":[{"Name":"llm","MaxConnections":100,"Engine":{"Slots":64,"KvCapacityTokens":500000,
+            "KvTokenBytes":1,"LinkMbps":1000}}],
+            "Tenants":[{"Name":"families","ApiKeys":["key"],"RatePerS":1000000,"Burst":1000000,"PlainTokens":1}]}
+            """;
+
     private final Closer closer = new Closer();
     private final StandinStore store = closer.add(new StandinStore());
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private String ip;
     private DaemonUnderTest daemon;
 
     @BeforeEach
     void start(@TempDir Path directory) throws Exception {
         int storePort = Integer.parseInt(store.address().replaceAll(".*:", ""));
-        String ip = "127.251." + ProcessHandle.current().pid() % NETWORKS + ".1";
+        ip = "127.251." + ProcessHandle.current().pid() % NETWORKS + ".1";
         daemon = new DaemonUnderTest(
                 Files.createDirectories(directory),
                 "front-1",
@@ -45,6 +74,50 @@
         closer.close();
     }
 
+    private StandinEndpoint engine(String id, String version) {
+        StandinEndpoint engine = closer.add(new StandinEndpoint(id));
+        engine.version(version);
+        return engine;
+    }
+
+    /** Takes up a stream of which no daemon knows where it began, and returns the response. */
+    private HttpResponse<String> takeUp() throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + daemon.front() + "/ask/x"))
+                .timeout(Duration.ofSeconds(5))
+                .header("Authorization", "Bearer key")
+                .header(Headers.ATTEMPT, UUID.randomUUID().toString())
+                .header(Headers.DEADLINE, "5000")
+                .header(Headers.TOKENS, "100,5")
+                .header(Headers.PREFIX_BLOCKS, "a:100")
+                .header(Headers.LAST_EVENT, "1")
+                .header(Headers.RESUMED_ATTEMPT, UUID.randomUUID().toString())
+                .POST(HttpRequest.BodyPublishers.ofString("prompt"))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /**
+     * Guards against a daemon that stands still while the store's answer waits for it, takes the answer for the present
+     * list once it goes on, and joins a stream of a version that was listed meanwhile with one of another.
+     */
+    @Test
+    void testStreamOfANewVersionDoesNotGoOnAtTheOldOneAfterAStandstill() throws Exception {
+        store.put("keyed.op", "config", DEPLOYMENT.replace("IP", ip));
+        engine("i-1", "v1").list(store, "llm", "decode", "ready");
+        TestDaemons.await(() -> takeUp().statusCode() == 200);
+        store.delayAnswers("keyed.servers", DELAY_MILLIS);
+        int before = store.delayedReads();
+        TestDaemons.await(() -> store.delayedReads() > before);
+        daemon.signal("STOP");
+        engine("i-2", "v2").list(store, "llm", "decode", "ready");
+        Thread.sleep(STANDSTILL_MILLIS);
+        daemon.signal("CONT");
+        for (int stream = 0; stream < STREAMS; stream++) {
+            HttpResponse<String> response = takeUp();
+            assertEquals(503, response.statusCode(), "a stream of unknown origin went on: " + response.body());
+        }
+    }
+
     /** Guards against a stop that can't be explained afterwards, as the log ends with its first line. */
     @Test
     void testPlannedStopIsLoggedToItsEnd() throws Exception {
