--- a/soak/src/test/java/org/ragwortpitch/soak/DaemonProcessTest.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/DaemonProcessTest.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -29,6 +30,9 @@
 
     private static final int NETWORKS = 250;
 
+    /** Gives each test an address of its own, as the ports of an ended daemon stay in use for a while. */
+    private static final AtomicInteger TESTS = new AtomicInteger();
+
     private static final int STREAMS = 5;
 
     /** How long the store's answers are on their way, in milliseconds. */
@@ -56,7 +60,7 @@
     @BeforeEach
     void start(@TempDir Path directory) throws Exception {
         int storePort = Integer.parseInt(store.address().replaceAll(".*:", ""));
-        ip = "127.251." + ProcessHandle.current().pid() % NETWORKS + ".1";
+        ip = "127.251." + ProcessHandle.current().pid() % NETWORKS + "." + TESTS.incrementAndGet();
         daemon = new DaemonUnderTest(
                 Files.createDirectories(directory),
                 "front-1",
@@ -65,7 +69,10 @@
                 new FaultProxy(() -> storePort),
                 "org.ragwortpitch.edge.Main");
         daemon.start();
-        TestDaemons.await(() -> daemon.logged().contains("event=topic-loaded topic=keyed.servers"));
+        TestDaemons.await(() -> {
+            assertTrue(daemon.isAlive(), "the daemon ended: " + daemon.logged());
+            return daemon.logged().contains("event=topic-loaded topic=keyed.servers");
+        });
     }
 
     @AfterEach
