Say that an address is in use where the settings file is not at fault

cause: a daemon that can't listen ended with "FILE can't be read: Address already in use" change: the message names the addresses and the remedy; exit code 2 as before

--- a/edge/src/main/java/org/ragwortpitch/edge/Main.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Main.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.edge;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -48,6 +49,10 @@
             SettingsFileWatcher watcher = new SettingsFileWatcher(Path.of(file), edge::reload);
             watcher.installHangUpHandler();
             edge.checkSettingsEvery(SETTINGS_CHECK_MILLIS, watcher::check);
+        } catch (BindException exception) {
+            System.err.println("can't listen at the addresses that " + file + " gives: " + exception.getMessage()
+                    + "; stop what listens there, or correct Ip, Listen and InternalPorts");
+            System.exit(INVALID_SETTINGS_STATUS);
         } catch (IOException exception) {
             System.err.println(file + " can't be read: " + exception.getMessage());
             System.exit(INVALID_SETTINGS_STATUS);
--- a/soak/src/test/java/org/ragwortpitch/soak/DaemonProcessTest.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/DaemonProcessTest.java
@@ -30,7 +30,7 @@
 
     private static final int NETWORKS = 250;
 
-    /** Gives each test an address of its own, as the ports of an ended daemon stay in use for a while. */
+    /** Gives each test an address of its own, as tests run beside each other. */
     private static final AtomicInteger TESTS = new AtomicInteger();
 
     private static final int STREAMS = 5;
