--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -14,12 +14,10 @@
 import java.util.stream.Collectors;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.DaemonCodec;
-import org.ragwortpitch.adapter.DeploymentCodec;
 import org.ragwortpitch.adapter.InstanceSettings;
 import org.ragwortpitch.adapter.KeyedRecord;
 import org.ragwortpitch.adapter.StoreCodec;
 import org.ragwortpitch.deployment.Daemon;
-import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.Pool;
@@ -46,27 +44,6 @@
     /** Long-poll timeout for the daemons' topic, in milliseconds; long, because each call is billed. */
     private static final long DAEMONS_WAIT_MILLIS = 10_000;
 
-    /**
-     * Long-poll timeout for the configuration of a daemon that reads the store closely, in milliseconds. Together with
-     * the response timeout, it detects a silent connection within three seconds.
-     */
-    private static final long DEPLOYMENT_WAIT_MILLIS = 1_200;
-
-    /**
-     * The part of the time after which an instance counts as connected again that a waiting read leaves free, in
-     * milliseconds: the response timeout, and a new read.
-     */
-    private static final long DEPLOYMENT_READ_MARGIN_MILLIS = 1_800;
-
-    /** Longest long-poll timeout for the configuration, in milliseconds. */
-    private static final long MAX_DEPLOYMENT_WAIT_MILLIS = 10_000;
-
-    /** Time that a version which others have applied takes to come by the waiting read, in milliseconds. */
-    private static final long ANNOUNCED_WAIT_MILLIS = 250;
-
-    /** Readings for a version that others have applied; the usual ones go on after them. */
-    private static final int MAX_ANNOUNCED_READS = 8;
-
     /**
      * The part of the time allowed for acting on an endpoint's entry that the pause between reads leaves free, in
      * milliseconds: a response takes 4 ms, and a lost call is retried after 250 ms. Usually gossip from another daemon
@@ -99,14 +76,12 @@
     private final Map<InstanceId, Daemon> daemons = new HashMap<>();
     private final UsageWriter usage;
     private final DutyRunner duties;
+    private final DeploymentFollower deployments;
     private Map<PoolId, PoolDemand> poolDemands = Map.of();
     private Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = Map.of();
     private Set<EndpointIncarnation> saidToLeave = Set.of();
     private Set<EndpointId> resting = Set.of();
-    private Deployment deployment;
     private TopicFollower endpointsFollower;
-    private TopicFollower deploymentsFollower;
-    private boolean readsStoreClosely = true;
 
     /**
      * Creates a client of the store that is idle until {@link #start()}.
@@ -133,6 +108,8 @@
         this.store = new StoreClient(
                 loop, caller, settings.storeAddress(), clockMillis, metrics, listener::onStoreReachable);
         String incarnation = self.id().value() + "-" + self.startMillis();
+        this.deployments = new DeploymentFollower(
+                loop, store, settings.bounds().contactMillis(), clockMillis, listener::onDeployment);
         this.usage = new UsageWriter(loop, store, self);
         this.duties = new DutyRunner(
                 loop,
@@ -160,9 +137,9 @@
         return (token, refused) -> {
             reporter.updatePeerCounts(peerCounts);
             reporter.step(token, medianMillis.getAsLong(), incarnations(), refused);
-            if (deployment != null) {
-                deployment.pools().forEach(pool -> stepEngines(token, pool, fleetScaler, roleAssigner));
-            }
+            deployments.current().ifPresent(deployment -> deployment
+                    .pools()
+                    .forEach(pool -> stepEngines(token, pool, fleetScaler, roleAssigner)));
         };
     }
 
@@ -194,8 +171,7 @@
      */
     public void start() {
         register();
-        deploymentsFollower = follow(
-                StoreCodec.OPERATORS_TOPIC, 0, this::deploymentWaitMillis, this::applyDeployments, reading -> {});
+        deployments.start();
         long endpointsPauseMillis =
                 Math.max(ENDPOINTS_READ_MARGIN_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_READ_MARGIN_MILLIS);
         endpointsFollower = follow(
@@ -310,39 +286,17 @@
     }
 
     /**
-     * Sets whether this daemon reads the store closely on behalf of all; the others detect a silent connection later,
-     * and are told of what they miss.
+     * Sets whether this daemon reads the store closely on behalf of all.
      */
     public void readStoreClosely(boolean closely) {
-        if (closely && !readsStoreClosely && deploymentsFollower != null) {
-            deploymentsFollower.readAgain();
-        }
-        readsStoreClosely = closely;
-    }
-
-    private long deploymentWaitMillis() {
-        long allowedMillis = settings.bounds().contactMillis() - DEPLOYMENT_READ_MARGIN_MILLIS;
-        return readsStoreClosely
-                ? DEPLOYMENT_WAIT_MILLIS
-                : Math.min(MAX_DEPLOYMENT_WAIT_MILLIS, Math.max(DEPLOYMENT_WAIT_MILLIS, allowedMillis));
+        deployments.readClosely(closely);
     }
 
     /**
-     * Reads the configuration anew unless a version that another daemon has applied comes by the reading under way.
+     * Has a version of the configuration read that another daemon has applied.
      */
     public void deploymentAnnounced(long version) {
-        scheduleAnnouncedRead(version, MAX_ANNOUNCED_READS);
-    }
-
-    private void scheduleAnnouncedRead(long version, int readsLeft) {
-        loop.schedule(() -> readAnnounced(version, readsLeft), ANNOUNCED_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void readAnnounced(long version, int readsLeft) {
-        if (readsLeft > 0 && deploymentsFollower != null && (deployment == null || deployment.version() < version)) {
-            deploymentsFollower.readAgain();
-            scheduleAnnouncedRead(version, readsLeft - 1);
-        }
+        deployments.announced(version);
     }
 
     /**
@@ -399,32 +353,6 @@
         return follower;
     }
 
-    private void applyDeployments(List<KeyedRecord> records, boolean snapshot) {
-        records.stream()
-                .filter(entry -> StoreCodec.CONFIGURATION_KEY.equals(entry.key()) && entry.value().length > 0)
-                .forEach(entry -> barrier.run(entry.key(), () -> applyDeployment(entry)));
-    }
-
-    private void applyDeployment(KeyedRecord entry) {
-        try {
-            Deployment next = DeploymentCodec.decode(entry.value());
-            if (deployment == null || next.version() > deployment.version()) {
-                deployment = next;
-                Event.of("deployment")
-                        .with("version", next.version())
-                        .with("offset", entry.offset())
-                        .info(LOGGER);
-                listener.onDeployment(next);
-            }
-        } catch (CodecException exception) {
-            Event.of("deployment-unreadable")
-                    .with("offset", entry.offset())
-                    .with("in-force", deployment == null ? "-" : deployment.version())
-                    .with("reason", exception.getMessage())
-                    .warn(LOGGER);
-        }
-    }
-
     private void applyEndpoints(List<KeyedRecord> records, boolean snapshot) {
         if (snapshot) {
             endpoints.replaceAll(records, store.reachableForMillis());
