--- a/policy/src/test/java/org/ragwortpitch/resumption/ResumptionHistoryTest.java
+++ b/policy/src/test/java/org/ragwortpitch/resumption/ResumptionHistoryTest.java
@@ -43,6 +43,9 @@
     /** Streams of two versions in one history above which it shows a fault; a control has more. */
     private static final int MAX_MIXED = 0;
 
+    /** Share of the streams by which two sets of random histories may differ. */
+    private static final double ROUNDING = 0.01;
+
     /** Longest that an answer of the store may take on its way, in milliseconds. */
     private static final int MAX_DELAY_MILLIS = 3_000;
 
@@ -91,6 +94,26 @@
         assertTrue(mixed > MAX_MIXED, mixed + " streams mixed");
     }
 
+    /** Guards against safety that is bought by refusing streams which went on before. */
+    @Test
+    void testReadingAnewLetsAsManyStreamsGoOnAsAReadingThatWasHandledLately() {
+        double anew = shareThatGoesOn(Rule.READ_AFTER_ARRIVAL);
+        double lately = shareThatGoesOn(Rule.HANDLED_LATELY);
+        assertTrue(anew >= lately - ROUNDING, anew + " of the streams go on, " + lately + " before");
+    }
+
+    private static double shareThatGoesOn(Rule rule) {
+        int takenUp = 0;
+        int wentOn = 0;
+        for (long seed = 1; seed <= 40; seed++) {
+            History history = new History(seed, 7, true, rule);
+            history.run();
+            takenUp += history.takenUp;
+            wentOn += history.wentOn;
+        }
+        return (double) wentOn / takenUp;
+    }
+
     /** How a daemon finds the version of a stream whose origin it doesn't know. */
     private enum Rule {
         /** Takes the only version of a reading that was sent after the attempt had arrived. */
