--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -20,6 +20,28 @@
                 .status();
     }
 
+    /** Asks the daemons in turn which addresses to use; empty if none answers. */
+    static java.util.List<String> resolve(Fleet fleet) {
+        java.util.List<Fleet.Daemon> daemons = new java.util.ArrayList<>(fleet.daemons());
+        java.util.Collections.shuffle(daemons);
+        for (Fleet.Daemon daemon : daemons) {
+            Answer answer = send(
+                    daemon.ip,
+                    8220,
+                    "",
+                    "GET /resolve?Name=site.example&Region=r&Zone=a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+                    new byte[0]);
+            if (answer.status() == 200) {
+                java.util.List<String> ips = new java.util.ArrayList<>();
+                for (Object address : (java.util.List<?>) Json.object(answer.text()).get("Addresses")) {
+                    ips.add(String.valueOf(address).replaceAll(":.*", ""));
+                }
+                return ips;
+            }
+        }
+        return java.util.List.of();
+    }
+
     /** Sends a request of a plain service. */
     static Answer plain(Record record, String ip, String method, String path, String key, byte[] body) {
         return request(record, ip, method, path, key, body, "X-Ragwortpitch-Deadline-Ms: 1000\r\n");
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -23,6 +23,9 @@
         final String ip;
         private Process process;
 
+        /** Where this daemon finds the store. */
+        String storeAddress = platform.storeAddress();
+
         Daemon(String name, String ip) {
             this.name = name;
             this.ip = ip;
@@ -164,7 +167,7 @@
                         + " RequireFencing: true, LeaseMs: 3000, ThawSlackMs: 300, UsageWindowS: 5,"
                         + " UsageTolerance: 0.05, UsageLateS: 10, RecoveryS: 12, TransitMs: 120, RetryAfterS: 10,"
                         + " ttl_max_s: 5}",
-                "Platform: {Address: \"" + platform.storeAddress() + "\", form: \"log\", WritesPerS: 400,"
+                "Platform: {Address: \"" + daemon.storeAddress + "\", form: \"log\", WritesPerS: 400,"
                         + " ReadsPerS: 2000, parts: 12, AppendMs: 2.0, PartitionMbS: 20.0, ReadMbS: 80.0,"
                         + " RecordBytes: 262144, CallBytes: 2097152, keep_s: " + keepSeconds
                         + ", PartitionMb: 200, MinTtlMs: 1000}",
--- a/review/standin/Platform.java
+++ b/review/standin/Platform.java
@@ -84,7 +84,8 @@
     Platform(Record record, long keepMillis) throws IOException {
         this.record = record;
         this.keepMillis = keepMillis;
-        store = Http.serve("127.0.0.1", 0, this::handleStore);
+        View all = new View(Map.of());
+        store = Http.serve("127.0.0.1", 0, exchange -> handleStore(exchange, all));
         cloud = Http.serve("127.0.0.1", 0, this::handleCloud);
     }
 
@@ -96,6 +97,45 @@
         return "127.0.0.1:" + cloud.getAddress().getPort();
     }
 
+    /** The store as one machine sees it: by paths of its own to the runners, and perhaps turned away. */
+    final class View {
+        private final Map<String, String> addresses;
+        private volatile boolean refuses;
+        private HttpServer server;
+
+        private View(Map<String, String> addresses) {
+            this.addresses = addresses;
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getAddress().getPort();
+        }
+
+        /** Turns the machine away with 503, or serves it again. */
+        void refuse(boolean refusing) {
+            record.line("store " + (refusing ? "turns the machine away that sees " : "serves again ") + addresses);
+            refuses = refusing;
+            synchronized (Platform.this) {
+                Platform.this.notifyAll();
+            }
+        }
+
+        private byte[] shown(byte[] content) {
+            String text = new String(content, StandardCharsets.ISO_8859_1);
+            for (Map.Entry<String, String> address : addresses.entrySet()) {
+                text = text.replace(address.getKey() + "\"", address.getValue() + "\"");
+            }
+            return text.getBytes(StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    /** Opens another address of the store, at which runners are listed with other addresses. */
+    View view(Map<String, String> addresses) throws IOException {
+        View view = new View(addresses);
+        view.server = Http.serve("127.0.0.1", 0, exchange -> handleStore(exchange, view));
+        return view;
+    }
+
     // What the operator, the runners and the scripts do.
 
     synchronized void put(String topic, String key, String value) {
@@ -171,14 +211,14 @@
         return topic;
     }
 
-    private void handleStore(HttpExchange exchange) throws IOException {
+    private void handleStore(HttpExchange exchange, View view) throws IOException {
         Map<String, String> query = Http.query(exchange);
         byte[] body = exchange.getRequestBody().readAllBytes();
         int status = 200;
         byte[] raw = null;
         Object json = Map.of();
         synchronized (this) {
-            if (down) {
+            if (down || view.refuses) {
                 status = 503;
             } else {
                 switch (exchange.getRequestURI().getPath()) {
@@ -199,6 +239,7 @@
                         long until = System.currentTimeMillis() + Long.parseLong(query.getOrDefault("WaitMs", "0"));
                         long begun = era;
                         while (!down
+                                && !view.refuses
                                 && era == begun
                                 && topic(query.get("Topic")).end() == from
                                 && System.currentTimeMillis() < until) {
@@ -209,20 +250,20 @@
                             }
                         }
                         Topic topic = topic(query.get("Topic"));
-                        if (down || era != begun) {
+                        if (down || view.refuses || era != begun) {
                             status = 503;
                         } else if (from < topic.first || from > topic.end()) {
                             status = 410;
                             json = Map.of("FirstOffset", topic.first);
                         } else {
-                            raw = page(topic, from);
+                            raw = page(topic, from, view);
                         }
                     }
                     case "/log-newest" -> {
                         List<Object> items = new ArrayList<>();
                         Topic topic = topic(query.get("Topic"));
                         topic.newest.forEach((key, entry) -> {
-                            byte[] content = (byte[]) entry[1];
+                            byte[] content = view.shown((byte[]) entry[1]);
                             int length = 1 + (content[0] & 0xff);
                             byte[] value = java.util.Arrays.copyOfRange(content, length, content.length);
                             items.add(Map.of(
@@ -245,12 +286,13 @@
         }
     }
 
-    private static byte[] page(Topic topic, long from) throws IOException {
+    private static byte[] page(Topic topic, long from, View view) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream data = new DataOutputStream(bytes);
         data.writeLong(topic.end());
         data.writeLong(topic.first);
-        for (byte[] content : topic.records.subList((int) (from - topic.first), topic.records.size())) {
+        for (byte[] record : topic.records.subList((int) (from - topic.first), topic.records.size())) {
+            byte[] content = view.shown(record);
             data.writeInt(content.length);
             data.write(content);
         }
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -22,8 +22,8 @@
     /** Attempt ids of the requests that it began to run, in order. */
     final List<String> ran = new CopyOnWriteArrayList<>();
 
-    /** Status of the answer to a request that it has run; 200 unless a case sets another. */
-    volatile int ranStatus = 200;
+    /** The share of the requests that fail after they have run: it answers them with 503. */
+    volatile double failedShare;
 
     Runner(Record record, Platform platform, String id, String service, String stage) throws IOException {
         this.record = record;
@@ -43,6 +43,14 @@
         reports.start();
     }
 
+    String address() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    int port() {
+        return server.getAddress().getPort();
+    }
+
     private synchronized void register() {
         String entry = "{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:"
                 + server.getAddress().getPort() + "\",\"Zone\":\"a\",\"Version\":\"1\",\"Slots\":64,\"State\":\"ready\""
@@ -76,7 +84,9 @@
         exchange.getResponseHeaders().set("X-Ragwortpitch-Response-Seal", "seal." + id + "." + attempt);
         if (exchange.getRequestHeaders().getFirst("X-Ragwortpitch-Token-Usage") == null) {
             Times.sleep(15);
-            Http.answer(exchange, ranStatus, "text/plain", ("done " + attempt).getBytes(StandardCharsets.UTF_8));
+            int status = java.util.concurrent.ThreadLocalRandom.current().nextDouble() < failedShare ? 503 : 200;
+            record.line("runner " + id + " answers " + attempt + " " + status);
+            Http.answer(exchange, status, "text/plain", ("done " + attempt).getBytes(StandardCharsets.UTF_8));
             return;
         }
         String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
