--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -100,6 +100,6 @@
         if (head.contains("transfer-encoding: chunked") && !body.endsWith("0\r\n\r\n")) {
             return new Answer(attempt, 0, "stream broken off");
         }
-        return new Answer(attempt, status, body.length() > 200 ? body.substring(0, 200) : body);
+        return new Answer(attempt, status, body.length() > 2_000 ? body.substring(0, 2_000) : body);
     }
 }
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -25,6 +25,14 @@
     /** The share of the requests that fail after they have run: it answers them with 503. */
     volatile double failedShare;
 
+    /** The share of the streams that it stops in the middle of an event; it ends such an answer as usual. */
+    volatile double stoppedShare;
+
+    /** Attempt ids of the streams that it stopped so. */
+    final List<String> stoppedStreams = new CopyOnWriteArrayList<>();
+
+    static final int EVENTS = 5;
+
     Runner(Record record, Platform platform, String id, String service, String stage) throws IOException {
         this.record = record;
         this.platform = platform;
@@ -93,8 +101,15 @@
         exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
         exchange.sendResponseHeaders(200, 0);
         OutputStream out = exchange.getResponseBody();
-        for (int event = last == null ? 1 : Integer.parseInt(last) + 1; event <= 5; event++) {
+        boolean stops = java.util.concurrent.ThreadLocalRandom.current().nextDouble() < stoppedShare;
+        for (int event = last == null ? 1 : Integer.parseInt(last) + 1; event <= EVENTS; event++) {
             Times.sleep(20);
+            if (stops && event == EVENTS - 1) {
+                record.line("runner " + id + " stops " + attempt + " in event " + event);
+                stoppedStreams.add(attempt);
+                out.write(("id: " + event + "\nda").getBytes(StandardCharsets.UTF_8));
+                break;
+            }
             out.write(("id: " + event + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8));
             out.flush();
         }
