Review case 2: an answer that a client still receives is cut by a planned stop

Tried: SIGTERM to each daemon in turn, while a client receives a long answer that its runner has finished. Seen: 5.6 s after the signal the channel is closed in the middle of the answer (3 of 3), 2 s before the process ends.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx256m -cp target/review StoppedStreamCase review/3
+exec java -Xmx256m -cp target/review RestoreCase review/3 restore
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -22,6 +22,9 @@
     /** Attempt ids of the requests that it began to run, in order. */
     final List<String> ran = new CopyOnWriteArrayList<>();
 
+    /** Length of the answers of a plain service; 0 for a short one. */
+    volatile int answerBytes;
+
     /** The share of the requests that fail after they have run: it answers them with 503. */
     volatile double failedShare;
 
@@ -94,6 +97,10 @@
             Times.sleep(15);
             int status = java.util.concurrent.ThreadLocalRandom.current().nextDouble() < failedShare ? 503 : 200;
             record.line("runner " + id + " answers " + attempt + " " + status);
+            if (answerBytes > 0) {
+                Http.answer(exchange, 200, "application/octet-stream", new byte[answerBytes]);
+                return;
+            }
             Http.answer(exchange, status, "text/plain", ("done " + attempt).getBytes(StandardCharsets.UTF_8));
             return;
         }
