--- a/review/standin/LaterServiceCase.java
+++ b/review/standin/LaterServiceCase.java
@@ -44,7 +44,7 @@
     }
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = Trouble.begin();
         Record record = new Record(Path.of(arguments[0], "record.txt"));
         Platform platform = new Platform(record, 300_000);
         Fleet fleet = new Fleet(record, platform, 3);
--- a/review/standin/RestoreCase.java
+++ b/review/standin/RestoreCase.java
@@ -20,7 +20,7 @@
             + "\"PlainTokens\":1,\"RatePerS\":100000,\"Burst\":100000}]}";
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = Trouble.begin();
         String kind = arguments[1];
         Record record = new Record(Path.of(arguments[0], "record.txt"));
         int keepSeconds = kind.equals("expiry") ? 20 : 300;
