Load and write again what the store loses when it comes back from an older copy

Callers would see: a daemon whose entry was lost is unknown to daemons that start later, and an endpoint whose record got an offset that had been read before is never sent anything. Cause: nothing read Store-Era. Followers read on at offsets of the lost log; entries of daemons and crashes were written once. Entries of daemons are kept until they are written again.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -64,6 +65,9 @@
     /** Interval between checks for missing entries, in milliseconds: a tenth of the second left to act on one. */
     private static final long MISSING_CHECK_MILLIS = 100;
 
+    /** Causes of crashes that are written again if the store loses them; it has one record of each. */
+    private static final int MAX_RECORDED_POISON = 256;
+
     private final EventLoop loop;
     private final InstanceSettings settings;
     private final Daemon self;
@@ -82,6 +86,12 @@
     private Set<EndpointIncarnation> saidToLeave = Set.of();
     private Set<EndpointId> resting = Set.of();
     private TopicFollower endpointsFollower;
+    private final Map<CrashCause, byte[]> recordedPoison = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<CrashCause, byte[]> eldest) {
+            return size() > MAX_RECORDED_POISON;
+        }
+    };
 
     /**
      * Creates a client of the store that is idle until {@link #start()}.
@@ -170,6 +180,7 @@
      * Registers this daemon and starts following the store's topics.
      */
     public void start() {
+        store.onRestored(this::writeAgain);
         register();
         deployments.start();
         long endpointsPauseMillis =
@@ -201,6 +212,7 @@
      */
     public void recordPoison(CrashCause cause, byte[] crashes) {
         byte[] record = StoreCodec.encodeKeyed(cause.toString(), crashes);
+        recordedPoison.put(cause, crashes);
         store.call(
                 StoreCodec.append(StoreCodec.POISON_TOPIC, List.of(record)),
                 0,
@@ -215,6 +227,13 @@
                 });
     }
 
+    /** Writes again what this daemon has written, as the store may have lost it. */
+    private void writeAgain() {
+        endpoints.forgetOffsets();
+        register();
+        Map.copyOf(recordedPoison).forEach(this::recordPoison);
+    }
+
     private static void logNotWritten(CrashCause cause, String reason) {
         Event.of("poison-block-not-written")
                 .with("block", cause)
@@ -363,7 +382,8 @@
     }
 
     private void applyDaemons(List<KeyedRecord> records, boolean snapshot) {
-        if (snapshot) {
+        // Entries that a restore of the store has taken are written again; until then gossip shows which daemons run.
+        if (snapshot && store.era().equals(store.firstEra())) {
             daemons.clear();
         }
         records.forEach(entry -> barrier.run(entry.key(), () -> applyDaemon(entry)));
--- a/edge/src/main/java/org/ragwortpitch/edge/control/EndpointRegistry.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EndpointRegistry.java
@@ -118,6 +118,13 @@
         return true;
     }
 
+    /**
+     * Forgets the offset of the newest change, as the store gives its offsets out again.
+     */
+    void forgetOffsets() {
+        changedOffset = -1;
+    }
+
     /**
      * Returns the offset of the newest record that changed which endpoints are usable or how; -1 if none did.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -18,7 +18,8 @@
 
 /**
  * Follows a keyed topic: loads the newest record of each key, then reads the records after them; loads again when the
- * store has already deleted the next record. Confined to the control thread.
+ * store has already deleted the next record, or has come back from an older copy, whose offsets it gives out again.
+ * Confined to the control thread.
  */
 final class TopicFollower {
 
@@ -73,10 +74,25 @@
         this.clockMillis = clockMillis;
         this.listener = listener;
         this.barrier = new FaultBarrier("follow " + topic);
+        store.onRestored(this::restart);
     }
 
     void start() {
-        load("", new ArrayList<>(), -1);
+        // Whatever is under way belongs to an earlier load, and its answer is ignored.
+        long load = ++reads;
+        waiting = false;
+        load(load, "", new ArrayList<>(), -1);
+    }
+
+    private void restart() {
+        if (reads > 0) {
+            if (next != null) {
+                next.cancel(false);
+                next = null;
+            }
+            announcedOffset = -1;
+            start();
+        }
     }
 
     /**
@@ -117,18 +133,32 @@
         }
     }
 
-    private void load(String after, List<KeyedRecord> loaded, long firstEnd) {
+    private void load(long load, String after, List<KeyedRecord> loaded, long firstEnd) {
         if (loaded.isEmpty()) {
             sentMillis = clockMillis.getAsLong();
         }
         store.call(
                 StoreCodec.readCompacted(topic, after),
                 0,
-                response -> onLoadedPage(response, after, loaded, firstEnd),
-                reason -> store.retry(this::start));
+                response -> {
+                    if (load == reads) {
+                        onLoadedPage(response, load, after, loaded, firstEnd);
+                    }
+                },
+                reason -> {
+                    if (load == reads) {
+                        store.retry(() -> startUnlessRestarted(load));
+                    }
+                });
+    }
+
+    private void startUnlessRestarted(long load) {
+        if (load == reads) {
+            start();
+        }
     }
 
-    private void onLoadedPage(CallResponse response, String after, List<KeyedRecord> loaded, long firstEnd) {
+    private void onLoadedPage(CallResponse response, long load, String after, List<KeyedRecord> loaded, long firstEnd) {
         try {
             if (!response.isOk()) {
                 throw new CodecException("load returned status " + response.status());
@@ -142,7 +172,7 @@
                 if (last.equals(after)) {
                     throw new CodecException("the pages of the load don't advance after key " + last);
                 }
-                load(last, loaded, end);
+                load(load, last, loaded, end);
                 return;
             }
             offset = end;
@@ -158,7 +188,7 @@
             read();
         } catch (CodecException exception) {
             logUnreadable(exception);
-            schedule(RETRY_MILLIS, this::start);
+            schedule(RETRY_MILLIS, () -> startUnlessRestarted(load));
         }
     }
 
@@ -183,7 +213,11 @@
                 reason -> {
                     if (read == reads) {
                         waiting = false;
-                        store.retry(this::read);
+                        store.retry(() -> {
+                            if (read == reads) {
+                                read();
+                            }
+                        });
                     }
                 });
     }
@@ -213,7 +247,7 @@
             next = schedule(offset <= announcedOffset ? RETRY_MILLIS : pauseMillis, this::read);
         } catch (CodecException exception) {
             logUnreadable(exception);
-            schedule(RETRY_MILLIS, this::read);
+            next = schedule(RETRY_MILLIS, this::read);
         }
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -16,7 +17,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
@@ -55,7 +58,10 @@
     private final AtomicInteger delayedReads = new AtomicInteger();
     private final AtomicInteger refusedCalls = new AtomicInteger();
     private volatile long ignoredBeforeMillis = Long.MIN_VALUE;
+    private final Map<String, Integer> firstOffsets = new HashMap<>();
+    private volatile long era = 1;
     private String holder;
+    private String passedOver = "";
     private long generation;
 
     public StandinStore() {
@@ -137,6 +143,74 @@
         ignoredBeforeMillis = TestEventLoop.CLOCK_MILLIS.getAsLong();
     }
 
+    /**
+     * Returns a copy of what it holds now, to be put back later.
+     */
+    public Copy copy() {
+        return onLoop(() -> new Copy(copyOf(topics), generation));
+    }
+
+    /**
+     * Puts a copy back: what daemons wrote since is gone, what operators and endpoints wrote is written again. The
+     * memberships of the duties' group have expired, and the duties go to another member than before.
+     *
+     * @param writtenFirst what is written before that which is written again
+     */
+    public void restore(Copy copy, Runnable writtenFirst) {
+        onLoop(() -> {
+            Map<String, List<byte[]>> lost = copyOf(topics);
+            topics.clear();
+            topics.putAll(copyOf(copy.topics()));
+            writtenFirst.run();
+            for (String topic : List.of(StoreCodec.OPERATORS_TOPIC, StoreCodec.ENDPOINTS_TOPIC)) {
+                List<byte[]> written = lost.getOrDefault(topic, List.of());
+                int copied = copy.topics().getOrDefault(topic, List.of()).size();
+                topic(topic).addAll(written.subList(copied, written.size()));
+            }
+            era++;
+            generation = copy.generation();
+            memberExpiryMillis.clear();
+            passOnDuties();
+            return null;
+        });
+    }
+
+    /**
+     * Assigns the duties to another member than before.
+     */
+    public void handOverDuties() {
+        onLoop(() -> {
+            passOnDuties();
+            return null;
+        });
+    }
+
+    private void passOnDuties() {
+        passedOver = holder == null ? "" : holder;
+        holder = null;
+    }
+
+    /**
+     * Deletes the records that a topic holds now, as if they had expired; their offsets stay used.
+     */
+    public void expire(String topic) {
+        onLoop(() -> firstOffsets.put(topic, topic(topic).size()));
+    }
+
+    private <T> T onLoop(Callable<T> action) {
+        try {
+            return loops.loop().submit(action).get();
+        } catch (InterruptedException | ExecutionException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private static Map<String, List<byte[]>> copyOf(Map<String, List<byte[]>> topics) {
+        Map<String, List<byte[]>> copy = new HashMap<>();
+        topics.forEach((name, records) -> copy.put(name, new ArrayList<>(records)));
+        return copy;
+    }
+
     /**
      * Returns path and body of each duty call so far.
      */
@@ -163,7 +237,11 @@
      */
     public void put(String topic, String key, String value) {
         byte[] record = StoreCodec.encodeKeyed(key, value.getBytes(StandardCharsets.UTF_8));
-        loops.loop().execute(() -> topic(topic).add(record));
+        if (loops.loop().inEventLoop()) {
+            topic(topic).add(record);
+        } else {
+            loops.loop().execute(() -> topic(topic).add(record));
+        }
     }
 
     private List<byte[]> topic(String name) {
@@ -174,7 +252,7 @@
         QueryStringDecoder query = new QueryStringDecoder(request.target());
         if (down || query.parameters().getOrDefault("Topic", List.of()).contains(downTopic)) {
             refusedCalls.incrementAndGet();
-            response.sendFull(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+            response.sendFull(503, headers(), Unpooled.EMPTY_BUFFER);
             return Cancellation.NONE;
         }
         try {
@@ -183,7 +261,7 @@
                 case "/log-append" -> json(response, append(field(query, "Topic"), request.body()));
                 case "/log-join" -> json(response, join(request));
                 case "/log-leave" -> json(response, leave(request));
-                case "/log-read" -> read(query, response, endpointEntries, TestEventLoop.CLOCK_MILLIS.getAsLong());
+                case "/log-read" -> read(query, response, endpointEntries, TestEventLoop.CLOCK_MILLIS.getAsLong(), era);
                 default -> {
                     String body = request.body().toString(StandardCharsets.UTF_8);
                     duties.add(request.path() + " " + body);
@@ -196,11 +274,15 @@
                 }
             }
         } catch (IOException | CodecException exception) {
-            response.sendFull(400, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+            response.sendFull(400, headers(), Unpooled.EMPTY_BUFFER);
         }
         return Cancellation.NONE;
     }
 
+    private HttpHeaders headers() {
+        return new DefaultHttpHeaders().set(Headers.STORE_ERA, era);
+    }
+
     private Map<String, Object> newest(String topic, UnaryOperator<String> endpointEntries) throws CodecException {
         Map<String, Map<String, Object>> items = new LinkedHashMap<>();
         List<byte[]> records = records(topic, endpointEntries);
@@ -233,12 +315,13 @@
         long now = TestEventLoop.CLOCK_MILLIS.getAsLong();
         memberExpiryMillis.put(member, now + joinRequest.path("TtlMs").asLong());
         memberExpiryMillis.values().removeIf(expiry -> expiry < now);
-        if (holder == null || !memberExpiryMillis.containsKey(holder)) {
+        if ((holder == null || !memberExpiryMillis.containsKey(holder)) && !passedOver.equals(member)) {
             holder = member;
+            passedOver = "";
             generation++;
         }
         List<Object> row = List.of("duties", 0, 0);
-        return Map.of("Generation", generation, "parts", holder.equals(member) ? List.of(row) : List.of());
+        return Map.of("Generation", generation, "parts", member.equals(holder) ? List.of(row) : List.of());
     }
 
     private Map<String, Object> leave(CallerRequest request) throws IOException {
@@ -267,38 +350,45 @@
             QueryStringDecoder query,
             CallerResponse response,
             UnaryOperator<String> endpointEntries,
-            long receivedMillis)
-            throws CodecException {
+            long receivedMillis,
+            long receivedEra)
+            throws CodecException, IOException {
         if (receivedMillis < ignoredBeforeMillis) {
             return;
         }
+        if (receivedEra != era) {
+            response.sendFull(503, headers(), Unpooled.EMPTY_BUFFER);
+            return;
+        }
         List<byte[]> records = records(field(query, "Topic"), endpointEntries);
         int from = Integer.parseInt(field(query, "From"));
+        int first = firstOffsets.getOrDefault(field(query, "Topic"), 0);
+        if (from < first || from > records.size()) {
+            byte[] body = MAPPER.writeValueAsBytes(Map.of("FirstOffset", first));
+            response.sendFull(410, headers(), Unpooled.wrappedBuffer(body));
+            return;
+        }
         long waitedMillis = TestEventLoop.CLOCK_MILLIS.getAsLong() - receivedMillis;
         if (from >= records.size() && waitedMillis < Long.parseLong(field(query, "WaitMs"))) {
             loops.loop()
                     .schedule(
                             () -> {
-                                read(query, response, endpointEntries, receivedMillis);
+                                read(query, response, endpointEntries, receivedMillis, receivedEra);
                                 return null;
                             },
                             POLL_MILLIS,
                             TimeUnit.MILLISECONDS);
             return;
         }
-        ByteBuf body = Unpooled.buffer().writeLong(records.size()).writeLong(0);
-        records.subList(Math.min(from, records.size()), records.size())
+        ByteBuf body = Unpooled.buffer().writeLong(records.size()).writeLong(first);
+        records.subList(from, records.size())
                 .forEach(record -> body.writeInt(record.length).writeBytes(record));
         long millis = field(query, "Topic").equals(delayedTopic) ? delayMillis : 0;
         if (millis == 0) {
-            response.sendFull(200, new DefaultHttpHeaders(), body);
+            response.sendFull(200, headers(), body);
         } else {
             delayedReads.incrementAndGet();
-            loops.loop()
-                    .schedule(
-                            () -> response.sendFull(200, new DefaultHttpHeaders(), body),
-                            millis,
-                            TimeUnit.MILLISECONDS);
+            loops.loop().schedule(() -> response.sendFull(200, headers(), body), millis, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -306,8 +396,8 @@
         return query.parameters().get(name).get(0);
     }
 
-    private static void json(CallerResponse response, Map<String, Object> body) throws IOException {
-        response.sendFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(MAPPER.writeValueAsBytes(body)));
+    private void json(CallerResponse response, Map<String, Object> body) throws IOException {
+        response.sendFull(200, headers(), Unpooled.wrappedBuffer(MAPPER.writeValueAsBytes(body)));
     }
 
     /**
@@ -318,6 +408,11 @@
      */
     public record DutyCall(String path, String holder, String token, String body) {}
 
+    /**
+     * A copy of the store's contents.
+     */
+    public record Copy(Map<String, List<byte[]>> topics, long generation) {}
+
     @Override
     public void close() {
         views.close();
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -110,6 +110,16 @@
         return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /**
+     * Returns how many addresses a daemon's directory gives to callers.
+     */
+    public int resolve(Edge edge) throws Exception {
+        URI directory = URI.create("http://127.0.0.1:" + edge.directoryAddress().getPort() + "/resolve?Name=x&Zone=a");
+        String body = client.send(HttpRequest.newBuilder(directory).build(), HttpResponse.BodyHandlers.ofString())
+                .body();
+        return body.split("127.0.0.1").length - 1;
+    }
+
     /**
      * Sends a request without a body; those with the same path differ in nothing but their id.
      */
