Count eras in fencing tokens, as generations are given out again after a restore

Cause: the token was the group's generation, which a holder had got in an answer that the store had acknowledged and then lost. Change: the token also counts the eras since the first one that any holder knew, which a keyed record keeps. On a store that has never come back from a copy the tokens are the same as before, so that holders of both versions can take turns. DutyLease no longer names a token: its test reads the generation, the same number.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyLease.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyLease.java
@@ -60,6 +60,14 @@
         interrupted = true;
     }
 
+    /**
+     * Releases the lease and forgets its generation, as the store has come back from an older copy.
+     */
+    void forget() {
+        release();
+        generation = 0;
+    }
+
     /**
      * Returns whether this daemon may act now, and if so records the time as its last action.
      */
@@ -77,14 +85,8 @@
     }
 
     /**
-     * Returns the generation as the fencing token: no two members hold the duties in one generation.
-     */
-    long fencingToken() {
-        return generation;
-    }
-
-    /**
-     * Returns the newest generation that the store has reported; 0 if none.
+     * Returns the newest generation that the store has reported; 0 if none. No two members hold the duties in one
+     * generation.
      */
     long generation() {
         return generation;
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.lang.System.Logger;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.ragwortpitch.adapter.CodecException;
@@ -40,6 +41,7 @@
     private final String member;
     private final LongSupplier leaseMillis;
     private final DutyLease lease;
+    private final FencingTokens tokens;
     private final Duty duty;
     private boolean acting;
     private boolean stopped;
@@ -67,7 +69,9 @@
         this.member = member;
         this.leaseMillis = leaseMillis;
         this.lease = new DutyLease(TTL_MILLIS, waitMillis, fenced, leaseMillis.getAsLong());
+        this.tokens = new FencingTokens(store);
         this.duty = duty;
+        store.onRestored(lease::forget);
     }
 
     void start() {
@@ -145,19 +149,19 @@
 
     private void step() {
         boolean mayAct = !stopped && !suspended && lease.mayAct(leaseMillis.getAsLong());
-        if (mayAct != acting) {
-            acting = mayAct;
-            Event.of(mayAct ? "duties-taken" : "duties-given-up")
-                    .with("fencing-token", lease.fencingToken())
+        OptionalLong token = mayAct ? tokens.token(lease.generation()) : OptionalLong.empty();
+        if (token.isPresent() != acting) {
+            acting = token.isPresent();
+            Event.of(acting ? "duties-taken" : "duties-given-up")
+                    .with("generation", lease.generation())
+                    .with("fencing-token", token.isPresent() ? token.getAsLong() : "-")
                     .info(LOGGER);
         }
-        if (mayAct) {
-            duty.step(lease.fencingToken(), this::onRefused);
-        }
+        token.ifPresent(known -> duty.step(known, () -> onRefused(known)));
     }
 
-    private void onRefused() {
-        Event.of("duties-refused").with("fencing-token", lease.fencingToken()).warn(LOGGER);
+    private void onRefused(long token) {
+        Event.of("duties-refused").with("fencing-token", token).warn(LOGGER);
         lease.release();
     }
 }
--- /dev/null
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FencingTokens.java
@@ -0,0 +1,104 @@
+package org.ragwortpitch.edge.control;
+
+import java.lang.System.Logger;
+import java.util.List;
+import java.util.OptionalLong;
+import org.ragwortpitch.adapter.CodecException;
+import org.ragwortpitch.adapter.DutyRecordCodec;
+import org.ragwortpitch.adapter.KeyedRecord;
+import org.ragwortpitch.adapter.StoreCodec;
+import org.ragwortpitch.edge.http.CallResponse;
+import org.ragwortpitch.logging.Event;
+
+/**
+ * Derives fencing tokens from the generations of a group in the store. Generations that were given to holders are given
+ * out again once the store has come back from an older copy, so a token also counts the eras since the first one that
+ * any holder knew. Confined to the control thread.
+ */
+final class FencingTokens {
+
+    private static final Logger LOGGER = System.getLogger(FencingTokens.class.getName());
+
+    /** Exceeds the generations of one era: at one change a second, they would last for a century. */
+    private static final long TOKENS_PER_ERA = 1L << 32;
+
+    private final StoreClient store;
+    private long firstEra = Long.MAX_VALUE;
+    private boolean recorded;
+    private boolean busy;
+
+    FencingTokens(StoreClient store) {
+        this.store = store;
+        store.onRestored(() -> {
+            recorded = false;
+            busy = false;
+        });
+    }
+
+    /**
+     * Returns the token of a generation; empty until the store has the first era, which the call makes sure of.
+     */
+    OptionalLong token(long generation) {
+        OptionalLong era = store.era();
+        if (era.isEmpty()) {
+            return OptionalLong.of(generation);
+        }
+        if (!recorded) {
+            load();
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of((era.getAsLong() - firstEra) * TOKENS_PER_ERA + generation);
+    }
+
+    private void load() {
+        if (busy) {
+            return;
+        }
+        busy = true;
+        store.call(StoreCodec.readCompacted(DutyRecordCodec.TOPIC, ""), 0, this::onLoaded, reason -> busy = false);
+    }
+
+    private void onLoaded(CallResponse response) {
+        busy = false;
+        try {
+            OptionalLong known = storedEra(response);
+            firstEra = Math.min(
+                    firstEra,
+                    Math.min(known.orElse(Long.MAX_VALUE), store.firstEra().orElseThrow()));
+            if (known.isPresent() && known.getAsLong() == firstEra) {
+                recorded = true;
+            } else {
+                record();
+            }
+        } catch (CodecException exception) {
+            Event.of("first-era-unreadable")
+                    .with("reason", exception.getMessage())
+                    .warn(LOGGER);
+        }
+    }
+
+    private static OptionalLong storedEra(CallResponse response) throws CodecException {
+        if (!response.isOk()) {
+            throw new CodecException("load returned status " + response.status());
+        }
+        for (KeyedRecord entry : StoreCodec.compactedPage(response.body()).records()) {
+            if (DutyRecordCodec.FIRST_ERA_KEY.equals(entry.key())) {
+                return OptionalLong.of(DutyRecordCodec.decodeFirstEra(entry.value()));
+            }
+        }
+        return OptionalLong.empty();
+    }
+
+    private void record() {
+        busy = true;
+        byte[] record = StoreCodec.encodeKeyed(DutyRecordCodec.FIRST_ERA_KEY, DutyRecordCodec.encodeFirstEra(firstEra));
+        store.call(
+                StoreCodec.append(DutyRecordCodec.TOPIC, List.of(record)),
+                0,
+                response -> {
+                    busy = false;
+                    recorded = response.isOk();
+                },
+                reason -> busy = false);
+    }
+}
--- a/edge/src/test/java/org/ragwortpitch/edge/StoreRestoreTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StoreRestoreTest.java
@@ -1,7 +1,14 @@
 package org.ragwortpitch.edge;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.ragwortpitch.closing.Closer;
@@ -14,6 +21,10 @@
  */
 class StoreRestoreTest {
 
+    private static final int MIN_REPORTS = 2;
+
+    private static final long CALL_MILLIS = 60;
+
     private static final String DEPLOYMENT =
             """
             {"Version":%d,"Routes":[{"Name":"check","Host":"127.0.0.1","PathPrefix":"/%s/","Kind":"safe",
@@ -40,6 +51,47 @@
         return daemons.look(edge, "/" + path + "/x").get().statusCode();
     }
 
+    /** Returns the different figures that were reported of each usage window. */
+    private Map<String, Set<String>> reports() {
+        Map<String, Set<String>> reports = new TreeMap<>();
+        store.duties().stream().filter(duty -> duty.startsWith("/usage")).forEach(duty -> reports.computeIfAbsent(
+                        duty.replaceAll(".*\"Window\":(\\d+).*", "$1"), window -> new TreeSet<>())
+                .add(duty.replaceAll(".*\"Counts\":(\\{[^}]*}).*", "$1")));
+        return reports;
+    }
+
+    private void serveUntilReported(List<Edge> edges, int windows) throws Exception {
+        TestDaemons.await(() -> {
+            for (Edge edge : edges) {
+                assertEquals(200, status(edge, "check"));
+            }
+            Thread.sleep(CALL_MILLIS);
+            return reports().size() >= windows;
+        });
+    }
+
+    /** Guards against two holders of the duties with one fencing token, as the group's generations are given anew. */
+    @Test
+    void testHoldersBeforeAndAfterARestoreHaveDifferentFencingTokens() throws Exception {
+        deploy(1, "check");
+        endpoint.list(store, "app", "", "ready");
+        StandinStore.Copy copy = store.copy();
+        List<Edge> edges = List.of(daemons.start("front-1"), daemons.start("front-2"));
+        serveUntilReported(edges, 1);
+        int before = store.dutyCalls().size();
+        store.restore(copy, () -> {});
+        serveUntilReported(edges, MIN_REPORTS + 1);
+        Map<String, String> holders = new HashMap<>();
+        long highest = 0;
+        for (StandinStore.DutyCall call : store.dutyCalls()) {
+            String holder = holders.putIfAbsent(call.token(), call.holder());
+            assertTrue(holder == null || holder.equals(call.holder()), "two holders with one token: " + call);
+            assertTrue(Long.parseLong(call.token()) >= highest, "the token of a later holder is lower: " + call);
+            highest = Long.parseLong(call.token());
+        }
+        assertTrue(store.dutyCalls().size() > before && holders.size() > 1, "another holder acted after the restore");
+    }
+
     /** Guards against a daemon that others don't hear of, as the store has lost its entry. */
     @Test
     void testDaemonIsListedAgainAfterARestore() throws Exception {
--- a/edge/src/test/java/org/ragwortpitch/edge/control/DutyLeaseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/control/DutyLeaseTest.java
@@ -34,7 +34,7 @@
         lease.onJoined(false, 5, 9_000, 9_010);
         lease.onJoined(true, 6, 10_000, 10_010);
         assertTrue(lease.mayAct(10_010));
-        assertEquals(6, lease.fencingToken());
+        assertEquals(6, lease.generation());
     }
 
     @Test
