Report no usage window again whose frozen figures may be gone

Cause: the first frozen record in the ledger was trusted to make all reports of a window equal; a holder that did not find it, as the store came back from an older copy or the log had expired, counted anew what was left. Change: before a holder freezes a window, it writes a mark with the ledger's offset to a keyed topic, which neither expires nor is forgotten. A holder that takes the duty leaves out all windows that have begun if the ledger has a gap since the mark, or the mark is of another era.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.concurrent.TimeUnit;
@@ -141,7 +142,8 @@
                 platform,
                 self.id(),
                 settings.bounds().usageWindowMillis(),
-                settings.bounds().usageLateMillis());
+                settings.bounds().usageLateMillis(),
+                firstUsageWindow(medianMillis.getAsLong()));
         FleetScaler fleetScaler = new FleetScaler(platform, self.id(), clockMillis);
         EngineRoleAssigner roleAssigner = new EngineRoleAssigner(caller, self.id(), clockMillis);
         return (token, refused) -> {
@@ -153,6 +155,12 @@
         };
     }
 
+    private OptionalLong firstUsageWindow(long nowMillis) {
+        return settings.firstStart()
+                ? OptionalLong.of(Math.floorDiv(nowMillis, settings.bounds().usageWindowMillis()))
+                : OptionalLong.empty();
+    }
+
     private Set<DaemonIncarnation> incarnations() {
         return daemons.values().stream()
                 .map(daemon -> new DaemonIncarnation(daemon.id(), daemon.startMillis()))
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
@@ -4,11 +4,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.DutyCodec;
+import org.ragwortpitch.adapter.DutyRecordCodec;
+import org.ragwortpitch.adapter.HttpCall;
+import org.ragwortpitch.adapter.KeyedRecord;
 import org.ragwortpitch.adapter.StoreCodec;
 import org.ragwortpitch.adapter.TopicPage;
 import org.ragwortpitch.adapter.UsageCodec;
@@ -17,12 +22,16 @@
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
 import org.ragwortpitch.ledger.LedgerEntry;
+import org.ragwortpitch.ledger.ReportMark;
+import org.ragwortpitch.ledger.ReportMark.LedgerRange;
 import org.ragwortpitch.ledger.UsageLedger;
 import org.ragwortpitch.logging.Event;
 
 /**
  * Duty that reports usage for billing: reads the usage ledger, freezes each window's totals in it, and reports the
- * totals that were frozen first, so that any two reports of a window are equal. Confined to the control thread.
+ * totals that were frozen first, so that any two reports of a window are equal. Where frozen totals may be gone, as the
+ * ledger has expired or the store has come back from an older copy, the windows are left out. Confined to the control
+ * thread.
  */
 final class UsageReporter {
 
@@ -46,20 +55,50 @@
     private final InstanceId self;
     private final long windowMillis;
     private final long lateMillis;
-    private final UsageLedger ledger = new UsageLedger();
+    private UsageLedger ledger = new UsageLedger();
     private final TreeSet<Long> reported = new TreeSet<>();
     private Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = Map.of();
     private Set<DaemonIncarnation> expectedWriters = Set.of();
+    private OptionalLong firstWindow;
+    private Optional<ReportMark> mark = Optional.empty();
+    private long markedToken;
     private long nowMillis;
+    private long firstOffset;
     private long offset;
+    private long resets;
     private boolean busy;
 
-    UsageReporter(StoreClient store, PlatformClient platform, InstanceId self, long windowMillis, long lateMillis) {
+    /**
+     * Creates a reporter.
+     *
+     * @param firstWindow the present window, if the whole fleet starts for the first time
+     */
+    UsageReporter(
+            StoreClient store,
+            PlatformClient platform,
+            InstanceId self,
+            long windowMillis,
+            long lateMillis,
+            OptionalLong firstWindow) {
         this.store = store;
         this.platform = platform;
         this.self = self;
         this.windowMillis = windowMillis;
         this.lateMillis = lateMillis;
+        this.firstWindow = firstWindow;
+        store.onRestored(this::reset);
+    }
+
+    /** Forgets what was read, as the store has come back from an older copy. */
+    private void reset() {
+        ledger = new UsageLedger();
+        firstWindow = OptionalLong.empty();
+        mark = Optional.empty();
+        firstOffset = 0;
+        offset = 0;
+        busy = false;
+        // Answers to earlier calls are ignored.
+        resets++;
     }
 
     /**
@@ -74,15 +113,24 @@
         nowMillis = wallMillis;
         long last = Math.floorDiv(wallMillis - SETTLE_MILLIS, windowMillis) - 1;
         reported.headSet(last - 2 * MAX_REPORT_AGE_WINDOWS).clear();
-        if (busy || nextDue(last).isEmpty()) {
+        if (markedToken != fencingToken) {
+            markedToken = fencingToken;
+            mark = Optional.empty();
+        }
+        if (busy || mark.isPresent() && nextDue(last).isEmpty()) {
             return;
         }
         busy = true;
-        readLedger(() -> nextDue(last).ifPresent(window -> advance(window, fencingToken, refused)));
+        if (mark.isEmpty()) {
+            loadMark();
+        } else {
+            readLedger(() -> nextDue(last).ifPresent(window -> advance(window, fencingToken, refused)));
+        }
     }
 
     private Optional<Long> nextDue(long last) {
-        for (long window = last - MAX_REPORT_AGE_WINDOWS; window <= last; window++) {
+        long first = mark.map(ReportMark::nextWindow).orElse(Long.MAX_VALUE);
+        for (long window = Math.max(first, last - MAX_REPORT_AGE_WINDOWS); window <= last; window++) {
             if (!reported.contains(window)) {
                 return Optional.of(window);
             }
@@ -90,6 +138,81 @@
         return Optional.empty();
     }
 
+    private void loadMark() {
+        callStore(StoreCodec.readCompacted(DutyRecordCodec.TOPIC, ""), response -> {
+            try {
+                Optional<ReportMark> stored = storedMark(response);
+                readLedger(() -> resume(stored));
+            } catch (CodecException exception) {
+                Event.of("report-mark-unreadable")
+                        .with("reason", exception.getMessage())
+                        .warn(LOGGER);
+            }
+        });
+    }
+
+    private static Optional<ReportMark> storedMark(CallResponse response) throws CodecException {
+        if (!response.isOk()) {
+            throw new CodecException("load returned status " + response.status());
+        }
+        for (KeyedRecord entry : StoreCodec.compactedPage(response.body()).records()) {
+            if (DutyRecordCodec.REPORT_MARK_KEY.equals(entry.key())) {
+                return Optional.of(DutyRecordCodec.decodeMark(entry.value()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void resume(Optional<ReportMark> stored) {
+        ReportMark resumed = ReportMark.resume(
+                stored,
+                store.era().orElse(0),
+                new LedgerRange(firstOffset, offset),
+                Math.floorDiv(nowMillis, windowMillis),
+                firstWindow);
+        Event.of("usage-resumed")
+                .with("next", resumed.nextWindow())
+                .with(
+                        "stored",
+                        stored.map(ReportMark::nextWindow).map(String::valueOf).orElse("-"))
+                .with("first-offset", firstOffset)
+                .info(LOGGER);
+        if (stored.equals(Optional.of(resumed))) {
+            mark = stored;
+        } else {
+            write(resumed);
+        }
+    }
+
+    private void write(ReportMark next) {
+        byte[] record = StoreCodec.encodeKeyed(DutyRecordCodec.REPORT_MARK_KEY, DutyRecordCodec.encode(next));
+        callStore(StoreCodec.append(DutyRecordCodec.TOPIC, List.of(record)), response -> {
+            if (response.isOk()) {
+                mark = Optional.of(next);
+            }
+        });
+    }
+
+    /** Calls the store, and ignores the answer if the reporter was reset meanwhile. */
+    private void callStore(HttpCall call, Consumer<CallResponse> onResponse) {
+        busy = true;
+        long sentResets = resets;
+        store.call(
+                call,
+                0,
+                response -> {
+                    if (sentResets == resets) {
+                        busy = false;
+                        onResponse.accept(response);
+                    }
+                },
+                reason -> {
+                    if (sentResets == resets) {
+                        busy = false;
+                    }
+                });
+    }
+
     private void advance(long window, long fencingToken, Runnable refused) {
         Optional<Map<AccountId, Long>> frozen = ledger.frozen(window);
         if (frozen.isPresent()) {
@@ -98,6 +221,8 @@
             Map<AccountId, Long> totals = totals(window);
             if (totals.isEmpty()) {
                 reported.add(window);
+            } else if (mark.orElseThrow().nextWindow() < window) {
+                write(mark.orElseThrow().advanceTo(window, offset));
             } else {
                 freeze(window, totals);
             }
@@ -137,41 +262,38 @@
 
     private void freeze(long window, Map<AccountId, Long> totals) {
         LedgerEntry entry = new LedgerEntry(window, self, 0, 0, true, totals);
-        busy = true;
-        store.call(
-                StoreCodec.append(UsageCodec.TOPIC, List.of(UsageCodec.encode(entry))),
-                0,
-                response -> busy = false,
-                reason -> busy = false);
+        callStore(StoreCodec.append(UsageCodec.TOPIC, List.of(UsageCodec.encode(entry))), response -> {});
     }
 
     private void report(long window, Map<AccountId, Long> counts, long fencingToken, Runnable refused) {
         busy = true;
+        long sentResets = resets;
         platform.call(
                 DutyCodec.usage(self, fencingToken, window, counts),
                 "usage of window " + window + " " + counts,
                 response -> {
-                    busy = false;
+                    endReport(sentResets);
                     if (response.isOk()) {
                         reported.add(window);
                     } else if (response.status() == CONFLICT) {
                         refused.run();
                     }
                 },
-                () -> busy = false);
+                () -> endReport(sentResets));
+    }
+
+    private void endReport(long sentResets) {
+        if (sentResets == resets) {
+            busy = false;
+        }
     }
 
     private void readLedger(Runnable done) {
-        store.call(
-                StoreCodec.read(UsageCodec.TOPIC, offset, 0),
-                0,
-                response -> {
-                    busy = false;
-                    if (applyPage(response)) {
-                        done.run();
-                    }
-                },
-                reason -> busy = false);
+        callStore(StoreCodec.read(UsageCodec.TOPIC, offset, 0), response -> {
+            if (applyPage(response)) {
+                done.run();
+            }
+        });
     }
 
     /**
@@ -182,6 +304,8 @@
     private boolean applyPage(CallResponse response) {
         if (response.status() == GONE) {
             offset = StoreCodec.firstRetainedOffset(response.body()).orElse(offset);
+            firstOffset = offset;
+            mark = Optional.empty();
             return false;
         }
         if (!response.isOk()) {
--- a/edge/src/test/java/org/ragwortpitch/edge/StoreRestoreTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StoreRestoreTest.java
@@ -11,6 +11,9 @@
 import java.util.TreeSet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.ragwortpitch.adapter.UsageCodec;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
@@ -21,6 +24,14 @@
  */
 class StoreRestoreTest {
 
+    /** How the store loses records. */
+    private enum Loss {
+        /** It comes back from a copy that is older than the latest reports. */
+        RESTORED,
+        /** Its log has expired, and the duties go to another daemon. */
+        EXPIRED
+    }
+
     private static final int MIN_REPORTS = 2;
 
     private static final long CALL_MILLIS = 60;
@@ -70,6 +81,26 @@
         });
     }
 
+    /** Guards against a second report of a usage window, as the figures frozen for the first one are gone. */
+    @ParameterizedTest
+    @EnumSource(Loss.class)
+    void testNextHolderReportsNoWindowWhoseFiguresAreLost(Loss loss) throws Exception {
+        deploy(1, "check");
+        endpoint.list(store, "app", "", "ready");
+        List<Edge> edges = List.of(daemons.start("front-1"), daemons.start("front-2"));
+        StandinStore.Copy copy = store.copy();
+        serveUntilReported(edges, MIN_REPORTS);
+        Set<String> before = Set.copyOf(reports().keySet());
+        if (loss == Loss.RESTORED) {
+            store.restore(copy, () -> {});
+        } else {
+            store.handOverDuties();
+            store.expire(UsageCodec.TOPIC);
+        }
+        serveUntilReported(edges, before.size() + MIN_REPORTS);
+        reports().forEach((window, figures) -> assertEquals(1, figures.size(), "window " + window + ": " + figures));
+    }
+
     /** Guards against two holders of the duties with one fencing token, as the group's generations are given anew. */
     @Test
     void testHoldersBeforeAndAfterARestoreHaveDifferentFencingTokens() throws Exception {
