Take a stream that ends within an event for broken off, whatever its framing

Cause: an incomplete event at the end counted as a failure only without a stated length. Change: a stream is whole after a whole event; another one goes on at another engine or is broken off. A response without an event is no stream either, unless it resumes one or states another content type. Measured: four tests of EndpointFaultsTest and three rows of EngineStreamTest failed before ("Expected ExecutionException to be thrown, but nothing was thrown", a body that ends with half an event), and pass. The test of EngineStream has a new name, as it is no longer about responses that end with their connection alone; its rows are all there.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.function.LongSupplier;
@@ -18,6 +19,8 @@
 
     private static final int OK = 200;
 
+    private static final String EVENT_STREAM = "text/event-stream";
+
     /** An engine that has sent events for this long does not crash on the request, in milliseconds. */
     private static final long JUST_BEGUN_MILLIS = 250;
 
@@ -34,6 +37,7 @@
     private long firstEventMillis;
     private boolean counted;
     private boolean connectionLost;
+    private boolean resumed;
     private LongSupplier clockMillis = () -> 0;
     private long sentMillis;
     private int status;
@@ -93,6 +97,7 @@
     void start(TrafficContext context, OutboundRequest request) {
         clockMillis = context.clockMillis();
         sentMillis = clockMillis.getAsLong();
+        resumed = request.headers().contains(Headers.LAST_EVENT);
         target.beginRequest();
         target.engine().requestStarted(tokens, uncachedTokens);
         currentSend = context.connections().send(target.endpoint().address(), request, Long.MAX_VALUE, this);
@@ -141,14 +146,27 @@
             listener.onFailed(this, true, "success status without a response seal");
         } else if (status != OK) {
             listener.onOtherResponse(this, status, headers, otherBody);
-        } else if (!framed && (splitter.rest().length > 0 || !hasEvents)) {
-            connectionLost = true;
-            listener.onFailed(this, true, "the connection was closed before the end of an event");
+        } else if (isStopped(framed) && !isOtherContent(framed)) {
+            connectionLost = !framed;
+            listener.onFailed(this, true, "the stream ended before the end of an event");
         } else {
             listener.onComplete(this, splitter.rest());
         }
     }
 
+    /**
+     * Returns whether the response is no whole stream, whatever its framing says. A stream that was resumed after its
+     * last event has none.
+     */
+    private boolean isStopped(boolean framed) {
+        return splitter.rest().length > 0 || !hasEvents && !(framed && resumed);
+    }
+
+    private boolean isOtherContent(boolean framed) {
+        String type = headers.get(HttpHeaderNames.CONTENT_TYPE);
+        return framed && !hasEvents && type != null && !type.startsWith(EVENT_STREAM);
+    }
+
     @Override
     public void onFailure(CallFailure failure) {
         finish();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -251,13 +251,10 @@
         if (exchange.isDone()) {
             return;
         }
-        if (!run.hasEvents() && !exchange.isStreamBegun()) {
+        if (rest.length > 0 || !run.hasEvents() && !exchange.isStreamBegun()) {
             onOtherResponse(run, 200, run.headers(), Unpooled.wrappedBuffer(rest));
             return;
         }
-        if (rest.length > 0) {
-            exchange.forwardChunk(rest);
-        }
         exchange.endStream();
     }
 
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
@@ -0,0 +1,115 @@
+package org.ragwortpitch.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ExecutionException;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.edge.standin.StandinEndpoint;
+import org.ragwortpitch.edge.standin.StandinStore;
+import org.ragwortpitch.edge.standin.TestDaemons;
+
+/**
+ * Tests what callers get from endpoints whose responses are faulty, whole as they may look.
+ */
+class EndpointFaultsTest {
+
+    private static final int CALLS = 6;
+
+    private static final String WHOLE_STREAM =
+            "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n";
+
+    private static final String DEPLOYMENT =
+            """
+            {"Version":1,"Routes":[
+            {"Name":"check","Host":"127.0.0.1","PathPrefix":"/check/","Kind":"safe","TimeoutMs":2000,
+            "TargetLatencyMs":500,"Service":"app","MaxAttempts":1},
+            {"Name":"book","Host":"127.0.0.1","PathPrefix":"/book/","Kind":"unsafe","TimeoutMs":2000,
+            "TargetLatencyMs":500,"Service":"app","MaxAttempts":1},
+            {"Name":"ask","Host":"127.0.0.1","PathPrefix":"/ask/","Kind":"streaming","TimeoutMs":8000,
+            "TargetLatencyMs":400,"Service":"llm","MaxAttempts":2,"AllowResume":true,"TargetGapMs":150},
+            {"Name":"once","Host":"127.0.0.1","PathPrefix":"/once/","Kind":"streaming","TimeoutMs":8000,
+            "TargetLatencyMs":400,"Service":"llm","MaxAttempts":1,"TargetGapMs":150}],
+            "Services":[{"Name":"app","MaxConnections":100},{"Name":"llm","MaxConnections":100,
+            "Engine":{"Slots":64,"KvCapacityTokens":500000,"KvTokenBytes":1,"LinkMbps":1000}}],
+            "Tenants":[{"Name":"families","ApiKeys":["key"],"RatePerS":1000000,"Burst":1000000,"PlainTokens":1}]}
+            """;
+
+    private final Closer closer = new Closer();
+    private final StandinStore store = closer.add(new StandinStore());
+    private final TestDaemons daemons = closer.add(new TestDaemons(store));
+    private final List<StandinEndpoint> services = endpoints("a-1", "a-2");
+    private final List<StandinEndpoint> engines = endpoints("e-1", "e-2");
+
+    private List<StandinEndpoint> endpoints(String... ids) {
+        return Stream.of(ids).map(id -> closer.add(new StandinEndpoint(id))).toList();
+    }
+
+    @BeforeEach
+    void deploy() {
+        store.put("keyed.op", "config", DEPLOYMENT);
+        services.forEach(service -> service.list(store, "app", "", "ready"));
+        engines.forEach(engine -> engine.list(store, "llm", "decode", "ready"));
+    }
+
+    @AfterEach
+    void close() {
+        closer.close();
+    }
+
+    private HttpResponse<String> call(Edge edge, String route) throws Exception {
+        boolean generation = "ask".equals(route) || "once".equals(route);
+        return daemons.ask(edge, "/" + route + "/x", generation ? Optional.of("a1:1000") : Optional.empty())
+                .get();
+    }
+
+    /** Guards against a stream that its engine stops within an event, in order, and that looks complete. */
+    @Test
+    void testStreamThatItsEngineStopsWithinAnEventGoesOnElsewhere() throws Exception {
+        Edge edge = daemons.start("front-1");
+        engines.get(0).mode(StandinEndpoint.Mode.STOPPING);
+        for (int call = 0; call < CALLS; call++) {
+            assertEquals(WHOLE_STREAM, call(edge, "ask").body());
+        }
+        assertFalse(engines.get(0).executedRequests().isEmpty(), "a stream was stopped at least once");
+    }
+
+    /** Guards against a stopped stream that looks complete, as no other engine may go on with it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"ask", "once"})
+    void testStreamThatIsStoppedWithinAnEventIsBrokenOff(String route) throws Exception {
+        Edge edge = daemons.start("front-1");
+        engines.forEach(engine -> engine.mode(StandinEndpoint.Mode.STOPPING));
+        assertThrows(ExecutionException.class, () -> call(edge, route), "a stopped stream must not look complete");
+    }
+
+    /** Guards against a stream that a caller takes up and that is stopped once more. */
+    @Test
+    void testResumedStreamThatIsStoppedGoesOnElsewhere() throws Exception {
+        Edge edge = daemons.start("front-1");
+        engines.get(0).mode(StandinEndpoint.Mode.STOPPING);
+        for (int call = 0; call < CALLS; call++) {
+            String attempt = UUID.randomUUID().toString();
+            Map<String, String> headers = Map.of(Headers.LAST_EVENT, "1");
+            String body = new String(daemons.stream(edge, "/ask/x", attempt, headers)
+                    .get()
+                    .body()
+                    .readAllBytes());
+            assertEquals(WHOLE_STREAM.substring(WHOLE_STREAM.indexOf("id: 2")), body);
+        }
+        assertFalse(engines.get(0).executedRequests().isEmpty(), "a stream was stopped at least once");
+    }
+}
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -32,7 +32,9 @@
         FULL,
         /** Closes the connection within the third event of a stream, or before the body of a plain response. */
         BREAKING,
-        /** Runs the request and responds with 500. */
+        /** Ends the response in order, within the third event of a stream. */
+        STOPPING,
+        /** Runs the request and responds with 500, or the status that was set. */
         FAILING,
         /** Responds as if successful, but without the header that proves that it ran the request. */
         UNSIGNED,
@@ -65,6 +67,7 @@
     private volatile long startMillis = 1;
     private volatile String version = "v1";
     private volatile String eventData = "x";
+    private volatile int failureStatus = 500;
 
     public StandinEndpoint(String id) {
         this.id = id;
@@ -84,6 +87,14 @@
         mode = newMode;
     }
 
+    /**
+     * Fails each request from now on, once it has run it.
+     */
+    public void failAfterRunning(int status) {
+        failureStatus = status;
+        mode = Mode.FAILING;
+    }
+
     /**
      * Sets how long a plain response, a prefill, or each event takes, in milliseconds.
      */
@@ -279,7 +290,7 @@
             headers.set(Headers.SEAL, "seal-" + id);
         }
         if (mode == Mode.FAILING) {
-            response.sendFull(500, headers, text("failed"));
+            response.sendFull(failureStatus, headers, text("failed"));
         } else if (request.headers().contains(Headers.TOKENS)) {
             stream(request, response, headers);
         } else if (mode == Mode.BREAKING) {
@@ -307,6 +318,9 @@
         } else if (mode == Mode.BREAKING && event == BREAKING_EVENT) {
             response.sendChunk(text("id: " + event + "\nda"));
             loops.loop().execute(response::abort);
+        } else if (mode == Mode.STOPPING && event == BREAKING_EVENT) {
+            response.sendChunk(text("id: " + event + "\nda"));
+            response.endStream();
         } else {
             response.sendChunk(text("id: " + event + "\ndata: " + eventData + "\n\n"));
             runAfterPace(() -> event(response, event + 1));
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/EngineStreamTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/EngineStreamTest.java
@@ -25,17 +25,19 @@
 
     private String outcome = "";
 
-    /** Guards against an engine that ends at the start of a response and is taken to have responded completely. */
+    /** Guards against an engine that ends within an event, and is taken to have responded completely. */
     @ParameterizedTest
     @CsvSource({
         "false, '', failed",
         "false, 'id: 1|da', failed",
         "false, 'id: 1|data: x||', complete",
         "false, 'id: 1|data: x||id: 2|da', failed",
-        "true, 'id: 1|data: x||', complete"
+        "true, 'id: 1|data: x||', complete",
+        "true, 'id: 1|data: x||id: 2|da', failed",
+        "true, 'id: 1|da', failed",
+        "true, '', failed"
     })
-    void testResponseThatEndsWithItsConnectionIsCompleteAfterAWholeEvent(
-            boolean framed, String content, String expected) {
+    void testResponseIsCompleteAfterAWholeEvent(boolean framed, String content, String expected) {
         Endpoint endpoint = new Endpoint(
                 new EndpointId("i-1"),
                 new PoolId("llm"),
@@ -54,7 +56,7 @@
         stream.onContent(Unpooled.copiedBuffer(content.replace('|', '\n'), StandardCharsets.UTF_8));
         stream.onEnd(framed);
         assertEquals(expected, outcome);
-        assertEquals(expected.equals("failed"), stream.isConnectionLost());
+        assertEquals(!framed && expected.equals("failed"), stream.isConnectionLost());
     }
 
     /** Keeps how a stream ended. */
