Don't pass on as a promise a status that states nothing of the execution

Cause: a 503 without the header that states that the request was not executed was passed on unchanged; so were 408, 421 and 429, and the same from a daemon to which the request was passed on. Change: such a response becomes 502 without the endpoint's seal, for requests of every kind.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -21,6 +21,7 @@
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.poison.CrashCause;
+import org.ragwortpitch.refusal.RefusalStatus;
 
 /**
  * One admitted request of a caller with its deadline and its response, which ends the exchange. Confined to the traffic
@@ -242,10 +243,13 @@
     }
 
     /**
-     * Forwards a complete response of an endpoint and ends the exchange.
+     * Forwards a complete response of an endpoint that may have executed the request, and ends the exchange. A status
+     * that callers would take for a promise that it was not executed becomes one that promises nothing.
      */
     void forwardResponse(int status, HttpHeaders headers, ByteBuf body) {
-        if (finish("passed", status, "")) {
+        if (RefusalStatus.promisesNoExecution(status)) {
+            failUnstated("endpoint", status);
+        } else if (finish("passed", status, "")) {
             if (status < MIN_NON_SUCCESS_STATUS) {
                 recordSuccess();
             }
@@ -281,11 +285,22 @@
         }
     }
 
+    private void failUnstated(String sender, int status) {
+        fail(
+                HttpResponseStatus.BAD_GATEWAY.code(),
+                sender + " answered with status " + status + " a request that may have been executed");
+    }
+
     /**
-     * Forwards a complete response of another daemon and ends the exchange.
+     * Forwards a complete response of another daemon and ends the exchange. A daemon's own refusals hold unless the
+     * request may have been executed before it was passed on; the status of an endpoint promises nothing.
+     *
+     * @param mayHaveExecuted whether the request may have been executed before it was passed on
      */
-    void forwardProxiedResponse(int status, HttpHeaders headers, ByteBuf body) {
-        if (finish("proxied", status, "")) {
+    void forwardProxiedResponse(int status, HttpHeaders headers, ByteBuf body, boolean mayHaveExecuted) {
+        if (RefusalStatus.promisesNoExecution(status) && (mayHaveExecuted || headers.contains(Headers.SEAL))) {
+            failUnstated("daemon", status);
+        } else if (finish("proxied", status, "")) {
             response.sendFull(status, ForwardHeaders.ofResponse(headers), body);
         }
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
@@ -166,7 +166,7 @@
         } else if (exchange.isStreamBegun() || !framed) {
             exchange.fail(BAD_GATEWAY, "daemon did not complete the response: status " + status);
         } else {
-            exchange.forwardProxiedResponse(status, headers, body);
+            exchange.forwardProxiedResponse(status, headers, body, hop.executions() > 0);
         }
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
@@ -3,11 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.http.HttpResponse;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutionException;
 import java.util.stream.Stream;
@@ -15,9 +18,11 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.edge.standin.PartitionableLink;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
 import org.ragwortpitch.edge.standin.TestDaemons;
@@ -27,6 +32,9 @@
  */
 class EndpointFaultsTest {
 
+    /** Statuses that promise a caller that its request has not been executed and never will be. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
     private static final int CALLS = 6;
 
     private static final String WHOLE_STREAM =
@@ -70,6 +78,14 @@
         closer.close();
     }
 
+    private Stream<StandinEndpoint> all() {
+        return Stream.concat(services.stream(), engines.stream());
+    }
+
+    private long executed() {
+        return all().mapToLong(endpoint -> endpoint.executedRequests().size()).sum();
+    }
+
     private HttpResponse<String> call(Edge edge, String route) throws Exception {
         boolean generation = "ask".equals(route) || "once".equals(route);
         return daemons.ask(edge, "/" + route + "/x", generation ? Optional.of("a1:1000") : Optional.empty())
@@ -96,6 +112,56 @@
         assertThrows(ExecutionException.class, () -> call(edge, route), "a stopped stream must not look complete");
     }
 
+    /** Guards against a promise that a request was not executed, made of an endpoint's status that states nothing. */
+    @ParameterizedTest
+    @CsvSource({
+        "book, 503",
+        "book, 429",
+        "book, 408",
+        "book, 421",
+        "check, 503",
+        "check, 429",
+        "once, 503",
+        "once, 429",
+        "once, 408",
+        "once, 421",
+        "ask, 503",
+        "ask, 429"
+    })
+    void testStatusOfAnExecutedRequestPromisesNothing(String route, int status) throws Exception {
+        Edge edge = daemons.start("front-1");
+        all().forEach(endpoint -> endpoint.failAfterRunning(status));
+        HttpResponse<String> response = call(edge, route);
+        assertTrue(executed() > 0);
+        assertEquals(502, response.statusCode());
+        assertTrue(response.headers().firstValue(Headers.SEAL).isEmpty(), "the endpoint didn't send this status");
+    }
+
+    /** Guards against the same promise, passed on by a daemon that the request was handed to. */
+    @ParameterizedTest
+    @CsvSource({"book, 503", "book, 429", "once, 503", "check, 503"})
+    void testStatusOfAPassedOnRequestPromisesNothing(String route, int status) throws Exception {
+        Map<Integer, Integer> ports = new HashMap<>();
+        Map<Integer, PartitionableLink> links = new HashMap<>();
+        for (StandinEndpoint endpoint : all().toList()) {
+            PartitionableLink link = closer.add(new PartitionableLink(endpoint.port()));
+            links.put(endpoint.port(), link);
+            ports.put(endpoint.port(), link.port());
+        }
+        Edge cut = daemons.startAt("front-1", store.addressWithPorts(ports));
+        Edge other = daemons.start("front-2");
+        TestDaemons.await(() -> daemons.resolve(cut) == 2 && daemons.resolve(other) == 2);
+        for (PartitionableLink link : links.values()) {
+            link.partition(PartitionableLink.Partition.RESET);
+        }
+        TestDaemons.await(() -> call(cut, route).statusCode() == 200);
+        all().forEach(endpoint -> endpoint.failAfterRunning(status));
+        long before = executed();
+        HttpResponse<String> response = call(cut, route);
+        assertTrue(executed() > before, "the other daemon's endpoint executed the request");
+        assertFalse(PROMISES.contains(response.statusCode()), "status " + response.statusCode());
+    }
+
     /** Guards against a stream that a caller takes up and that is stopped once more. */
     @Test
     void testResumedStreamThatIsStoppedGoesOnElsewhere() throws Exception {
