Apply what a later configuration says of a service to endpoints that are listed already

Cause: the service's figures were applied when an endpoint was first listed, and kept for its incarnation; an engine of a service that was not configured yet had no state as an engine, the handler failed, and the connection was closed. Change: each version and each listing applies them to all endpoints; requests in progress end at the state that they began with. A handler that fails is logged, and its caller gets 500.

--- a/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -24,6 +25,8 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.lang.System.Logger;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -31,6 +34,7 @@
 import java.util.function.Supplier;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.logging.Event;
 
 /**
  * A caller's connection: reads and dispatches complete requests one at a time, and queues pipelined ones. Confined to
@@ -38,6 +42,8 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
+    private static final Logger LOGGER = System.getLogger(CallerConnection.class.getName());
+
     /** HTTP objects of pipelined requests that are queued while one is handled; more close the connection. */
     private static final int MAX_PIPELINED_OBJECTS = 256;
 
@@ -163,9 +169,18 @@
         Response current = new Response(HttpUtil.isKeepAlive(head));
         head = null;
         activeResponse = current;
-        Cancellation cancel = handler.handle(request, current);
-        if (activeResponse == current) {
-            cancellation = cancel;
+        try {
+            Cancellation cancel = handler.handle(request, current);
+            if (activeResponse == current) {
+                cancellation = cancel;
+            }
+        } catch (RuntimeException failure) {
+            Event.of("request-failed")
+                    .with("target", request.path())
+                    .with("reason", failure)
+                    .with("at", failure.getStackTrace().length == 0 ? "-" : failure.getStackTrace()[0])
+                    .warn(LOGGER);
+            current.fail();
         }
     }
 
@@ -176,9 +191,7 @@
         closing = true;
         head = null;
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                status,
-                Unpooled.copiedBuffer(message + "\n", java.nio.charset.StandardCharsets.UTF_8));
+                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(message + "\n", StandardCharsets.UTF_8));
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -259,6 +272,7 @@
 
         private final boolean keepAliveRequested;
         private boolean keepAlive;
+        private boolean streamBegun;
 
         Response(boolean keepAliveRequested) {
             this.keepAliveRequested = keepAliveRequested;
@@ -287,9 +301,22 @@
             response.headers().set(headers);
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             setKeepAlive(response);
+            streamBegun = true;
             channel.write(response);
         }
 
+        /** Ends the response to a request whose handler has failed. */
+        void fail() {
+            if (streamBegun) {
+                abort();
+            } else {
+                sendFull(
+                        HttpResponseStatus.INTERNAL_SERVER_ERROR.code(),
+                        new DefaultHttpHeaders(),
+                        Unpooled.copiedBuffer("internal error of the daemon\n", StandardCharsets.UTF_8));
+            }
+        }
+
         @Override
         public void sendChunk(ByteBuf chunk) {
             if (activeResponse == this) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -39,7 +39,7 @@
     private final RepeatedMessages<PrefixBlock> sentBlocks = new RepeatedMessages<>(MAX_BLOCKS_PER_DATAGRAM);
     private final RepeatedMessages<PrefixBlock> blocksSentInDomain = new RepeatedMessages<>(MAX_BLOCKS_PER_DATAGRAM);
     private final HealthScore health = new HealthScore();
-    private final EngineState engine;
+    private EngineState engine;
     private final EndpointPacer pacer;
     private Endpoint endpoint;
     private final long listedMillis;
@@ -52,7 +52,16 @@
         this.listedMillis = nowMillis;
         this.endpoint = endpoint;
         this.pacer = new EndpointPacer(endpoint.id());
-        this.engine = spec.map(known -> new EngineState(endpoint, known)).orElse(null);
+        configure(spec);
+    }
+
+    /**
+     * Applies what the configuration says of the endpoint's pool, which may be newer than the endpoint. Requests in
+     * progress end at the engine state that they began with, so one of a pool without engines is kept.
+     */
+    void configure(Optional<EngineSpec> spec) {
+        spec.filter(known -> engine == null || !engine.spec().equals(known))
+                .ifPresent(known -> engine = new EngineState(endpoint, known));
     }
 
     void updateEndpoint(Endpoint listed) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -14,6 +14,7 @@
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.EndpointIncarnation;
+import org.ragwortpitch.deployment.EngineSpec;
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.edge.control.EndpointReading;
 import org.ragwortpitch.health.EndpointNotices;
@@ -64,16 +65,15 @@
         for (Endpoint entry : listed) {
             Endpoint endpoint = notices.isLeaving(entry.incarnation()) ? entry.asLeaving() : entry;
             EndpointState known = states.get(endpoint.id());
+            Optional<EngineSpec> spec = deployment.pool(endpoint.pool()).flatMap(Pool::engine);
             if (known != null && known.endpoint().isSameIncarnation(endpoint)) {
                 logChange(known.endpoint(), endpoint);
                 known.updateEndpoint(endpoint);
+                known.configure(spec);
                 next.put(endpoint.id(), known);
             } else {
                 event("endpoint-listed", endpoint).info(LOGGER);
-                next.put(
-                        endpoint.id(),
-                        new EndpointState(
-                                endpoint, deployment.pool(endpoint.pool()).flatMap(Pool::engine), listedMillis));
+                next.put(endpoint.id(), new EndpointState(endpoint, spec, listedMillis));
             }
         }
         states.forEach((id, state) -> {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
@@ -11,6 +11,7 @@
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.OutboundRequest;
 import org.ragwortpitch.edge.http.ResponseListener;
+import org.ragwortpitch.placement.EngineState;
 
 /**
  * One send of a generation to one engine; splits the response into events.
@@ -25,6 +26,7 @@
     private static final long JUST_BEGUN_MILLIS = 250;
 
     private final EndpointState target;
+    private final EngineState engine;
     private final long tokens;
     private final long uncachedTokens;
     private final StreamListener listener;
@@ -45,6 +47,7 @@
 
     EngineStream(EndpointState target, long tokens, long uncachedTokens, StreamListener listener) {
         this.target = target;
+        this.engine = target.engine();
         this.tokens = tokens;
         this.uncachedTokens = uncachedTokens;
         this.listener = listener;
@@ -99,7 +102,7 @@
         sentMillis = clockMillis.getAsLong();
         resumed = request.headers().contains(Headers.LAST_EVENT);
         target.beginRequest();
-        target.engine().requestStarted(tokens, uncachedTokens);
+        engine.requestStarted(tokens, uncachedTokens);
         currentSend = context.connections().send(target.endpoint().address(), request, Long.MAX_VALUE, this);
     }
 
@@ -132,7 +135,7 @@
         }
         if (prefilling) {
             prefilling = false;
-            target.engine().prefillEnded(uncachedTokens);
+            engine.prefillEnded(uncachedTokens);
         }
         listener.onEvents(this, events);
     }
@@ -179,9 +182,9 @@
             ended = true;
             target.endRequest();
             if (prefilling) {
-                target.engine().prefillEnded(uncachedTokens);
+                engine.prefillEnded(uncachedTokens);
             }
-            target.engine().requestEnded(tokens);
+            engine.requestEnded(tokens);
         }
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
@@ -13,6 +13,7 @@
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.OutboundRequest;
 import org.ragwortpitch.edge.http.ResponseListener;
+import org.ragwortpitch.placement.EngineState;
 
 /**
  * Prefills a prompt on one engine so that another engine can decode it. A prefill doesn't count as an execution of the
@@ -23,6 +24,7 @@
     private static final int OK = 200;
 
     private final EndpointState target;
+    private final EngineState engine;
     private final long tokens;
     private final long uncachedTokens;
     private final Consumer<String> onHandle;
@@ -49,6 +51,7 @@
             Consumer<String> onHandle,
             Consumer<CallFailure> onFailure) {
         this.target = target;
+        this.engine = target.engine();
         this.tokens = tokens;
         this.uncachedTokens = uncachedTokens;
         this.onHandle = onHandle;
@@ -60,7 +63,7 @@
         sentMillis = clockMillis.getAsLong();
         request.headers().set(Headers.ROLE, EngineCodec.PREFILL_ONLY);
         target.beginRequest();
-        target.engine().requestStarted(tokens, uncachedTokens);
+        engine.requestStarted(tokens, uncachedTokens);
         currentSend = context.connections().send(target.endpoint().address(), request, Long.MAX_VALUE, this);
     }
 
@@ -111,8 +114,8 @@
         if (!ended) {
             ended = true;
             target.endRequest();
-            target.engine().prefillEnded(uncachedTokens);
-            target.engine().requestEnded(tokens);
+            engine.prefillEnded(uncachedTokens);
+            engine.requestEnded(tokens);
         }
     }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
@@ -66,6 +66,7 @@
                 response.sendChunk(Unpooled.copiedBuffer("one", StandardCharsets.US_ASCII));
                 loops.loop().schedule(response::abort, 50, TimeUnit.MILLISECONDS);
             }
+            case "/throws" -> throw new IllegalStateException("handler failed");
             default -> response.sendFull(
                     200, new DefaultHttpHeaders(), Unpooled.copiedBuffer("ok", StandardCharsets.US_ASCII));
         }
@@ -117,6 +118,14 @@
         assertTrue(handled.isEmpty(), handled.toString());
     }
 
+    /** Guards against a caller that gets a closed connection and no log line, as the handler fails. */
+    @Test
+    void testRequestWhoseHandlerFailsIsAnswered() throws IOException {
+        String response = exchange("GET /throws HTTP/1.1~Host: a~~GET /a HTTP/1.1~Host: a~Connection: close~~");
+        assertTrue(response.startsWith("HTTP/1.1 500"), response);
+        assertTrue(response.contains("HTTP/1.1 200"), response);
+    }
+
     @Test
     void testOversizedHeadersAreRefused() throws IOException {
         assertTrue(exchange("GET /a HTTP/1.1~X: " + "x".repeat(1_200) + "~~").startsWith("HTTP/1.1 431"));
