Take no response without an attempt id for the answer on a connection that carried another request

A faulty runner that writes an earlier refusal once more made requests refused that had been executed, and sent to a second runner: reported by another operator, shown here on a plain service (REFUSED, and TWICE where the second one runs it). Cause: a response with another attempt's id was skipped, one without any id was taken for the answer to the request under way. Change: on a kept connection, a response of an endpoint without an id fails the request as one that may have been executed. Measured: testRefusalThatIsWrittenOnceMoreRefusesNoLaterRequest failed for both routes before ('expected: <502> but was: <503>'), three of four rows of testResponseOnAKeptConnectionIsIdentified too; all pass.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -20,7 +20,7 @@
 
 /**
  * One connection, which carries one request at a time. A response with another attempt's id belongs to an earlier
- * request and is skipped; data that arrives while no request is pending closes the connection. Confined to the pool's
+ * request and is skipped; one without an id may belong to an earlier request, and fails the present one; data that arrives while no request is pending closes the connection. Confined to the pool's
  * thread.
  */
 final class OutboundConnection extends ChannelInboundHandlerAdapter {
@@ -32,6 +32,8 @@
     private Channel channel;
     private ResponseListener listener;
     private String attemptId = "";
+    private boolean identified;
+    private boolean used;
     private boolean skippingResponse;
     private boolean written;
     private boolean reusable;
@@ -67,6 +69,8 @@
     OutboundSend send(OutboundRequest request, ResponseListener responses) {
         listener = responses;
         attemptId = request.attemptId();
+        identified = used && request.echoed();
+        used = true;
         written = false;
         skippingResponse = false;
         reusable = true;
@@ -144,12 +148,17 @@
 
     private void readHead(HttpResponse head) {
         pool.responded(this, head);
-        String id = head.headers().get(Headers.ATTEMPT);
-        boolean ofOtherAttempt = id != null && !attemptId.isEmpty() && !id.equals(attemptId);
+        String id = head.headers().get(Headers.ATTEMPT, "");
+        boolean ofOtherAttempt = !id.isEmpty() && !attemptId.isEmpty() && !id.equals(attemptId);
         skippingResponse = ofOtherAttempt || head.status().code() < FIRST_FINAL_STATUS;
         if (skippingResponse) {
             return;
         }
+        if (identified && id.isEmpty()) {
+            fail("response without an attempt id on a connection that carried another request: status "
+                    + head.status().code());
+            return;
+        }
         framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         reusable &= framed && HttpUtil.isKeepAlive(head);
         idleLimitMillis = KeepAlive.limitMillis(head.headers().get(KeepAlive.HEADER));
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundRequest.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundRequest.java
@@ -11,5 +11,16 @@
  * @param headers   all headers except connection-specific ones and Content-Length
  * @param body      the body; the sender neither advances nor releases it
  * @param attemptId the attempt id that a response must carry if it carries any; empty to accept every id
+ * @param echoed    whether the receiver repeats the attempt id in every response, so that one without it, on a
+ *                  connection that has carried another request, may belong to that one
  */
-public record OutboundRequest(String method, String target, HttpHeaders headers, ByteBuf body, String attemptId) {}
+public record OutboundRequest(
+        String method, String target, HttpHeaders headers, ByteBuf body, String attemptId, boolean echoed) {
+
+    /**
+     * Creates a request whose attempt id, if it has one, is repeated in every response.
+     */
+    public OutboundRequest(String method, String target, HttpHeaders headers, ByteBuf body, String attemptId) {
+        this(method, target, headers, body, attemptId, !attemptId.isEmpty());
+    }
+}
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
@@ -130,7 +130,8 @@
                 exchange.request().target(),
                 forwarded,
                 exchange.request().body(),
-                exchange.attemptId());
+                exchange.attemptId(),
+                false);
     }
 
     @Override
--- a/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
@@ -23,6 +23,7 @@
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.PartitionableLink;
+import org.ragwortpitch.edge.standin.ScriptedPeer;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
 import org.ragwortpitch.edge.standin.TestDaemons;
@@ -37,6 +38,9 @@
 
     private static final int CALLS = 6;
 
+    /** Longer than a daemon leaves an endpoint alone that refused a request, in milliseconds. */
+    private static final long REFUSAL_PAUSE_MILLIS = 300;
+
     private static final String WHOLE_STREAM =
             "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n";
 
@@ -178,4 +182,27 @@
         }
         assertFalse(engines.get(0).executedRequests().isEmpty(), "a stream was stopped at least once");
     }
+
+    /** Guards against an earlier refusal, written once more, by which an executed request is refused or sent again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"book", "check"})
+    void testRefusalThatIsWrittenOnceMoreRefusesNoLaterRequest(String route) throws Exception {
+        String refusal = "HTTP/1.1 503 Busy\r\n%sX-Ragwortpitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        String identified = refusal.formatted("X-Ragwortpitch-Attempt-Id: " + ScriptedPeer.ID + "\r\n");
+        List<ScriptedPeer> peers = List.of(
+                closer.add(new ScriptedPeer(identified, refusal.formatted(""))),
+                closer.add(new ScriptedPeer(identified, refusal.formatted(""))));
+        services.forEach(service -> service.list(store, "other", "", "ready"));
+        for (ScriptedPeer peer : peers) {
+            String entry =
+                    "{\"Service\":\"app\",\"Address\":\"" + peer.address() + "\",\"Version\":\"v1\",\"Zone\":\"a\","
+                            + "\"Slots\":6,\"State\":\"ready\",\"Sequence\":1,\"born\":1}";
+            store.put("keyed.servers", "servers/s-" + peers.indexOf(peer), entry);
+        }
+        Edge edge = daemons.start("front-1");
+        assertEquals(503, call(edge, route).statusCode(), "both have refused it, as they state");
+        Thread.sleep(REFUSAL_PAUSE_MILLIS);
+        assertEquals(502, call(edge, route).statusCode(), "one may have executed it");
+        assertEquals(3, peers.stream().mapToInt(peer -> peer.requests().size()).sum());
+    }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
@@ -82,6 +82,25 @@
         }
     }
 
+    /** Guards against an earlier refusal that is written once more, and taken for the answer to the next request. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HTTP/1.1 503 Busy\\r\\nX-Ragwortpitch-Not-Executed: 1\\r\\nContent-Length: 0\\r\\n\\r\\n|broken sent",
+                "HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nno|broken sent",
+                "HTTP/1.1 500 Error\\r\\nX-Ragwortpitch-Attempt-Id:\\r\\nContent-Length: 0\\r\\n\\r\\n|broken sent",
+                "HTTP/1.1 503 Busy\\r\\nX-Ragwortpitch-Attempt-Id: other\\r\\nX-Ragwortpitch-Not-Executed: 1\\r\\n"
+                        + "Content-Length: 0\\r\\n\\r\\n" + COMPLETE + "|200 ok framed"
+            })
+    void testResponseOnAKeptConnectionIsIdentified(String script, String expected) throws Exception {
+        try (ScriptedPeer peer = new ScriptedPeer(unescape(COMPLETE), unescape(script))) {
+            assertEquals("200 ok framed", send(peer.address()));
+            assertEquals(expected, send(peer.address()));
+            assertEquals(1, peer.connections());
+        }
+    }
+
     @Test
     void testConnectionWithExcessBytesIsNotReused() throws Exception {
         try (ScriptedPeer peer = new ScriptedPeer(unescape(COMPLETE + COMPLETE), unescape(COMPLETE))) {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
@@ -8,10 +8,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.ragwortpitch.adapter.Headers;
 
 /**
  * A TCP server that answers each request with the next script, regardless of the request; the last script repeats. A
- * script is the bytes to send, optionally followed by a marker that closes or resets the connection.
+ * script is the bytes to send, with the request's attempt id for {@link #ID}, optionally followed by a marker that
+ * closes or resets the connection.
  */
 public final class ScriptedPeer implements AutoCloseable {
 
@@ -21,6 +25,11 @@
     /** Marker at the end of a script: reset the connection. */
     public static final String RESET = "<reset>";
 
+    /** Placeholder of the attempt id of the request that is answered. */
+    public static final String ID = "{id}";
+
+    private static final Pattern ATTEMPT = Pattern.compile("(?i)" + Headers.ATTEMPT + ": *(\\S+)");
+
     private final ServerSocket listening;
     private final List<String> scripts;
     private final List<String> requests = new CopyOnWriteArrayList<>();
@@ -64,9 +73,13 @@
         try (socket) {
             InputStream in = socket.getInputStream();
             while (true) {
-                requests.add(readRequest(in));
+                String request = readRequest(in);
+                requests.add(request);
                 String script = scripts.size() > 1 ? scripts.remove(0) : scripts.get(0);
-                String bytes = script.replace(CLOSE, "").replace(RESET, "");
+                Matcher attempt = ATTEMPT.matcher(request);
+                String bytes = script.replace(CLOSE, "")
+                        .replace(RESET, "")
+                        .replace(ID, attempt.find() ? attempt.group(1) : "");
                 socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
                 socket.getOutputStream().flush();
                 if (script.endsWith(RESET)) {
