Close no connection whose caller still receives, and accept nothing after the last check of a stop

Cause: a connection counted as idle once its answer was handed to the channel; the servers accepted until the process ended. Change: a connection with unsent bytes isn't idle, and its idle timeout runs from the last byte that its caller took; listening sockets are closed before the last check.

--- a/edge/src/main/java/org/ragwortpitch/edge/GracefulStop.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/GracefulStop.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import java.lang.System.Logger;
 import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -54,14 +56,35 @@
         leaveDuties.run();
         TimeUnit.MILLISECONDS.sleep((long) (graceMillis * CLOSE_IDLE_FRACTION));
         trafficLoop.execute(recordUsage);
+        boolean accepting = true;
+        int connections;
         do {
             trafficLoop.execute(() -> servers.forEach(FrontServer::closeIdle));
             TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
-        } while (clockMillis.getAsLong() < endMillis && connections() > 0);
-        Event.of("stopped").with("connections", connections()).info(LOGGER);
+            connections = onTrafficLoop(this::connections);
+            if (accepting && (connections == 0 || clockMillis.getAsLong() >= endMillis)) {
+                // A request that is accepted after the last check would end with the process.
+                accepting = false;
+                connections = onTrafficLoop(this::stopAccepting);
+            }
+        } while (clockMillis.getAsLong() < endMillis && connections > 0);
+        Event.of("stopped").with("connections", connections).info(LOGGER);
+    }
+
+    private int stopAccepting() {
+        servers.forEach(FrontServer::stopAccepting);
+        return connections();
     }
 
     private int connections() {
         return servers.stream().mapToInt(FrontServer::connections).sum();
     }
+
+    private int onTrafficLoop(Callable<Integer> action) throws InterruptedException {
+        try {
+            return trafficLoop.submit(action).get();
+        } catch (ExecutionException exception) {
+            throw new IllegalStateException("the servers can't be stopped", exception);
+        }
+    }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -58,6 +59,7 @@
     private long headArrivedMillis;
     private long headStartedMillis;
     private long lastReadMillis;
+    private long lastUnsentBytes;
     private Response activeResponse;
     private Cancellation cancellation = Cancellation.NONE;
     private Runnable whenWritable = () -> {};
@@ -199,14 +201,27 @@
     }
 
     /**
-     * Closes the connection of a caller whose headers take too long or which has been idle for too long. Called
-     * periodically.
+     * Closes the connection of a caller whose headers take too long, which has been idle for too long, or which has not
+     * taken a byte of its response for as long. Called periodically.
      */
     void checkTimeouts(long nowMillis) {
-        if (activeResponse != null || closing) {
+        if (activeResponse != null) {
             return;
         }
         CallerLimits now = limits.get();
+        long unsent = unsentBytes();
+        if (unsent > 0) {
+            if (unsent != lastUnsentBytes) {
+                lastUnsentBytes = unsent;
+                lastReadMillis = nowMillis;
+            } else if (nowMillis - lastReadMillis > now.idleTimeoutMillis()) {
+                close();
+            }
+            return;
+        }
+        if (closing) {
+            return;
+        }
         if (headStartedMillis != 0 && nowMillis - headStartedMillis > now.headerTimeoutMillis()) {
             refuse(
                     HttpResponseStatus.REQUEST_TIMEOUT,
@@ -217,11 +232,18 @@
     }
 
     void closeIfIdle() {
-        if (activeResponse == null && head == null && headStartedMillis == 0) {
+        if (activeResponse == null && head == null && headStartedMillis == 0 && unsentBytes() == 0) {
             close();
         }
     }
 
+    /** Returns the bytes of responses that the caller has yet to take. */
+    private long unsentBytes() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        // What was sent of the message in progress still counts as pending.
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+    }
+
     void close() {
         closing = true;
         channel.close();
--- a/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
@@ -94,6 +94,13 @@
         return connections.size();
     }
 
+    /**
+     * Refuses new connections from now on.
+     */
+    public void stopAccepting() {
+        listening.close();
+    }
+
     /**
      * Sends {@code Connection: close} with every response from now on.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.standin.TestEventLoop;
@@ -30,6 +31,9 @@
 
     private static final CallerLimits LIMITS = new CallerLimits(1_000, 100, 300, 1_000);
 
+    /** Exceeds what the kernel buffers for a connection on loopback. */
+    private static final int LONG_BYTES = 40_000_000;
+
     private final TestEventLoop loops = new TestEventLoop();
 
     private final List<String> handled = java.util.Collections.synchronizedList(new ArrayList<>());
@@ -66,6 +70,8 @@
                 response.sendChunk(Unpooled.copiedBuffer("one", StandardCharsets.US_ASCII));
                 loops.loop().schedule(response::abort, 50, TimeUnit.MILLISECONDS);
             }
+            case "/long" -> response.sendFull(
+                    200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[LONG_BYTES]));
             case "/throws" -> throw new IllegalStateException("handler failed");
             default -> response.sendFull(
                     200, new DefaultHttpHeaders(), Unpooled.copiedBuffer("ok", StandardCharsets.US_ASCII));
@@ -183,4 +189,45 @@
             assertEquals(-1, socket.getInputStream().read());
         }
     }
+
+    /**
+     * Guards against a response that is cut while its caller still receives it, as the connection seems idle: by a
+     * planned stop, or after the idle timeout.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void testResponseThatIsStillReceivedIsNotCut(boolean stopping) throws Exception {
+        try (Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
+            socket.getOutputStream().write("GET /long HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            socket.setSoTimeout(3_000);
+            byte[] piece = new byte[LONG_BYTES / 20];
+            long received = 0;
+            int read = 1;
+            while (read > 0 && received < LONG_BYTES) {
+                read = socket.getInputStream()
+                        .readNBytes(piece, 0, (int) Math.min(piece.length, LONG_BYTES - received));
+                received += read;
+                if (stopping) {
+                    loops.loop().submit(server::closeIdle).get(3, TimeUnit.SECONDS);
+                }
+                Thread.sleep(LIMITS.idleTimeoutMillis() / 10);
+            }
+            assertTrue(received >= LONG_BYTES, "received " + received + " of " + LONG_BYTES + " bytes");
+        }
+    }
+
+    /** Guards against connections of callers that don't read, and that stay open for good. */
+    @Test
+    void testConnectionOfACallerThatDoesNotReadIsClosed() throws Exception {
+        try (Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), server.address().getPort())) {
+            socket.getOutputStream().write("GET /long HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            long end = TestEventLoop.CLOCK_MILLIS.getAsLong() + 5 * LIMITS.idleTimeoutMillis();
+            while (handled.isEmpty() || server.connections() > 0) {
+                assertTrue(TestEventLoop.CLOCK_MILLIS.getAsLong() < end, "the connection is still open");
+                Thread.sleep(20);
+            }
+        }
+    }
 }
