Bound the memory of responses that are being received

A faulty endpoint that sends without end filled the heap of the daemon that had called it: reported by another operator. Cause: bodies of plain responses, errors, prefills and requests that were passed on, and events, were collected without a limit. Change: responses in progress share a part of the heap; beyond it the largest ones fail. Bodies are collected in segments, so that growing copies nothing. An event is at most 1 MiB, a response to the daemon's own call 4 MiB, headers 8 KiB.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -30,7 +30,9 @@
 import org.ragwortpitch.edge.front.FrontServer;
 import org.ragwortpitch.edge.front.RequestHandler;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
+import org.ragwortpitch.edge.http.ConnectionObserver;
 import org.ragwortpitch.edge.http.ConnectionPool;
+import org.ragwortpitch.edge.http.ResponseMemory;
 import org.ragwortpitch.edge.peer.GossipRound;
 import org.ragwortpitch.edge.peer.GossipSocket;
 import org.ragwortpitch.edge.peer.PeerStatus;
@@ -99,6 +101,7 @@
     private final PoisonRequests poison = new PoisonRequests(this::recordPoison);
     private final EndpointTable table;
     private final EndpointContacts contacts;
+    private final ResponseMemory responses = ResponseMemory.forTraffic();
     private final ConnectionPool connections;
     private final RetryBudgets retryBudgets;
     private final Gateway gateway;
@@ -134,11 +137,12 @@
         accounts = new AccountRateLimits(settings.firstStart());
         contacts = new EndpointContacts(
                 this::endpointTable, this::probe, poison, metrics, clockMillis, this::medianMillis);
-        connections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis, contacts);
+        connections = connectionPool(contacts);
         EndpointPermits permits = new EndpointPermits(
                 settings.instance(), () -> peers.daemons(clockMillis.getAsLong()), this::medianMillis);
         table = new EndpointTable(permits, settings.firstStart(), connections::closeIdle);
-        retryBudgets = newRetryBudgets();
+        RetryShares shares = new RetryShares(settings.firstStart(), createdMillis);
+        retryBudgets = new RetryBudgets(bounds, shares, peers::fleetSize, metrics::recordBudgetDenial);
         gateway = new Gateway(trafficContext(), new BufferingHttpCaller(trafficLoop, connections));
         front = frontServer(ConnectionPool.socketAddress(settings.frontAddress()), gateway::limits, gateway);
         InetSocketAddress peerAddress = new InetSocketAddress(settings.ip(), settings.peerPort());
@@ -153,7 +157,9 @@
         gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced, this::onDeploymentAnnounced);
         storeUpdates = newStoreUpdates();
         ready = listen(settings.readyAddress(), query -> readiness());
-        directory = listen(settings.directoryAddress(), newAddressDirectory()::answer);
+        AddressDirectory addresses = new AddressDirectory(
+                peers, self, this::status, table::pools, () -> bounds.maxTtlSeconds(), clockMillis);
+        directory = listen(settings.directoryAddress(), addresses::answer);
         listen(
                 settings.ip() + ":" + metricsPort,
                 query -> new SmallAnswer(OK, "text/plain; charset=utf-8", metrics.scrape()));
@@ -164,10 +170,6 @@
         return closer.add(new FrontServer(trafficLoop, address, limits, handler, clockMillis));
     }
 
-    private AddressDirectory newAddressDirectory() {
-        return new AddressDirectory(peers, self, this::status, table::pools, () -> bounds.maxTtlSeconds(), clockMillis);
-    }
-
     private PeerStatus status() {
         long version = gateway.deployment().map(Deployment::version).orElse(0L);
         return new PeerStatus(
@@ -217,21 +219,12 @@
                 wallMillis);
     }
 
-    private RetryBudgets newRetryBudgets() {
-        return new RetryBudgets(
-                bounds,
-                new RetryShares(settings.firstStart(), clockMillis.getAsLong()),
-                peers::fleetSize,
-                metrics::recordBudgetDenial);
-    }
-
     private StoreUpdates newStoreUpdates() {
         return new StoreUpdates(
                 trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
     }
 
     private TrafficContext trafficContext() {
-        ConnectionPool peerConnections = new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
         return new TrafficContext(
                 trafficLoop,
                 clockMillis,
@@ -240,7 +233,7 @@
                 connections,
                 table,
                 contacts,
-                new ProxyPeers(peers, peerConnections, clockMillis),
+                new ProxyPeers(peers, connectionPool(ConnectionObserver.NONE), clockMillis),
                 accounts,
                 retryBudgets,
                 usage,
@@ -251,6 +244,10 @@
                 metrics);
     }
 
+    private ConnectionPool connectionPool(ConnectionObserver observer) {
+        return new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis, observer, responses);
+    }
+
     private void readEndpointsSoon() {
         controlLoop.execute(() -> control.readEndpointsSoon());
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -4,7 +4,6 @@
 import java.lang.System.Logger;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -59,16 +58,11 @@
     /** Long-poll timeout for causes of crashes, in milliseconds: the longest one, as gossip tells of them first. */
     private static final long POISON_WAIT_MILLIS = 30_000;
 
-    private static final long RECORD_RETRY_MILLIS = 500;
-
     private static final long REGISTER_RETRY_MILLIS = 500;
 
     /** Interval between checks for missing entries, in milliseconds: a tenth of the second left to act on one. */
     private static final long MISSING_CHECK_MILLIS = 100;
 
-    /** Causes of crashes that are written again if the store loses them; it has one record of each. */
-    private static final int MAX_RECORDED_POISON = 256;
-
     private final EventLoop loop;
     private final InstanceSettings settings;
     private final Daemon self;
@@ -80,6 +74,7 @@
     private final OddEntries oddDaemons = new OddEntries("daemon-unreadable", "daemon");
     private final Map<InstanceId, Daemon> daemons = new HashMap<>();
     private final UsageWriter usage;
+    private final PoisonRecorder poison;
     private final DutyRunner duties;
     private final DeploymentFollower deployments;
     private Map<PoolId, PoolDemand> poolDemands = Map.of();
@@ -87,12 +82,6 @@
     private Set<EndpointIncarnation> saidToLeave = Set.of();
     private Set<EndpointId> resting = Set.of();
     private TopicFollower endpointsFollower;
-    private final Map<CrashCause, byte[]> recordedPoison = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<CrashCause, byte[]> eldest) {
-            return size() > MAX_RECORDED_POISON;
-        }
-    };
 
     /**
      * Creates a client of the store that is idle until {@link #start()}.
@@ -122,6 +111,7 @@
         this.deployments = new DeploymentFollower(
                 loop, store, settings.bounds().contactMillis(), clockMillis, listener::onDeployment);
         this.usage = new UsageWriter(loop, store, self);
+        this.poison = new PoisonRecorder(loop, store);
         this.duties = new DutyRunner(
                 loop,
                 store,
@@ -219,34 +209,14 @@
      * @param crashes encoded, as the listener gets them
      */
     public void recordPoison(CrashCause cause, byte[] crashes) {
-        byte[] record = StoreCodec.encodeKeyed(cause.toString(), crashes);
-        recordedPoison.put(cause, crashes);
-        store.call(
-                StoreCodec.append(StoreCodec.POISON_TOPIC, List.of(record)),
-                0,
-                response -> {
-                    if (!response.isOk()) {
-                        logNotWritten(cause, "status " + response.status());
-                    }
-                },
-                reason -> {
-                    logNotWritten(cause, reason);
-                    loop.schedule(() -> recordPoison(cause, crashes), RECORD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                });
+        poison.record(cause, crashes);
     }
 
     /** Writes again what this daemon has written, as the store may have lost it. */
     private void writeAgain() {
         endpoints.forgetOffsets();
         register();
-        Map.copyOf(recordedPoison).forEach(this::recordPoison);
-    }
-
-    private static void logNotWritten(CrashCause cause, String reason) {
-        Event.of("poison-block-not-written")
-                .with("block", cause)
-                .with("reason", reason)
-                .warn(LOGGER);
+        poison.recordAllAgain();
     }
 
     private void applyPoison(List<KeyedRecord> records, boolean snapshot) {
--- a/edge/src/main/java/org/ragwortpitch/edge/http/BufferingHttpCaller.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/BufferingHttpCaller.java
@@ -17,8 +17,8 @@
  */
 public final class BufferingHttpCaller {
 
-    /** A call with a longer response fails; the store's largest page is about 1 MB of base64 in JSON. */
-    private static final int MAX_BODY_BYTES = 16_777_216;
+    /** A call with a longer response fails at once; the store's largest page is about 1.4 MB of base64 in JSON. */
+    private static final int MAX_BODY_BYTES = 4_194_304;
 
     private final EventLoop loop;
     private final ConnectionPool pool;
@@ -38,7 +38,7 @@
      * @param address       host and port
      * @param timeoutMillis after which the call is cancelled and fails, in milliseconds
      * @param onResponse    called with the complete response, whatever its status
-     * @param onFailure     called if no complete response arrives, or if it exceeds 16 MiB
+     * @param onFailure     called if no complete response arrives, or if it exceeds 4 MiB
      */
     public void call(
             String address,
@@ -55,10 +55,10 @@
         OutboundRequest request = new OutboundRequest(call.method(), call.target(), headers, body, "");
         ResponseCollector collector = new ResponseCollector(
                 response -> barrier.run(address + call.target(), () -> onResponse.accept(response)), onFailure);
-        Cancellation cancellation = pool.send(address, request, Long.MAX_VALUE, collector);
+        collector.send = pool.send(address, request, Long.MAX_VALUE, collector);
         collector.timer = loop.schedule(
                 () -> {
-                    cancellation.cancel();
+                    collector.send.cancel();
                     collector.onFailure(CallFailure.sent("no complete response within " + timeoutMillis + " ms"));
                 },
                 timeoutMillis,
@@ -77,7 +77,7 @@
         private int status;
         private HttpHeaders headers;
         private boolean done;
-        private boolean bodyTooLong;
+        private Cancellation send = Cancellation.NONE;
 
         ResponseCollector(Consumer<CallResponse> onResponse, Consumer<CallFailure> onFailure) {
             this.onResponse = onResponse;
@@ -92,17 +92,22 @@
 
         @Override
         public void onContent(ByteBuf chunk) {
-            bodyTooLong |= content.readableBytes() + chunk.readableBytes() > MAX_BODY_BYTES;
-            if (!bodyTooLong) {
+            if (content.readableBytes() + chunk.readableBytes() > MAX_BODY_BYTES) {
+                send.cancel();
+                onFailure(CallFailure.sent("response body exceeds " + MAX_BODY_BYTES + " bytes"));
+            } else {
                 content.writeBytes(chunk);
             }
         }
 
+        @Override
+        public long bufferedBytes() {
+            return content.readableBytes();
+        }
+
         @Override
         public void onEnd(boolean framed) {
-            if (bodyTooLong) {
-                onFailure(CallFailure.sent("response body exceeds " + MAX_BODY_BYTES + " bytes"));
-            } else if (finish()) {
+            if (finish()) {
                 onResponse.accept(new CallResponse(status, headers, ByteBufUtil.getBytes(content)));
             }
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -29,7 +29,8 @@
 
     private static final int MAX_LINE_BYTES = 8_192;
 
-    private static final int MAX_HEADER_BYTES = 65_536;
+    /** Many short headers take some thirty times as much memory. */
+    private static final int MAX_HEADER_BYTES = 8_192;
 
     private static final int MAX_CHUNK_BYTES = 65_536;
 
@@ -44,6 +45,7 @@
     private final EventLoop loop;
     private final LongSupplier clockMillis;
     private final ConnectionObserver observer;
+    private final ResponseMemory memory;
     private final Bootstrap bootstrap;
     private final Map<String, Deque<OutboundConnection>> idle = new HashMap<>();
     private long opened;
@@ -55,7 +57,7 @@
      * @param clockMillis   the monotonic clock, in milliseconds
      */
     public ConnectionPool(EventLoop loop, int connectMillis, LongSupplier clockMillis) {
-        this(loop, connectMillis, clockMillis, ConnectionObserver.NONE);
+        this(loop, connectMillis, clockMillis, ConnectionObserver.NONE, ResponseMemory.forControl());
     }
 
     /**
@@ -64,8 +66,15 @@
      * @param connectMillis the connect timeout, in milliseconds
      * @param clockMillis   the monotonic clock, in milliseconds
      * @param observer      learns which addresses can be reached
+     * @param memory        of the responses in progress; may be shared by pools of one event loop
      */
-    public ConnectionPool(EventLoop loop, int connectMillis, LongSupplier clockMillis, ConnectionObserver observer) {
+    public ConnectionPool(
+            EventLoop loop,
+            int connectMillis,
+            LongSupplier clockMillis,
+            ConnectionObserver observer,
+            ResponseMemory memory) {
+        this.memory = memory;
         this.loop = loop;
         this.clockMillis = clockMillis;
         this.observer = observer;
@@ -132,6 +141,10 @@
         }
     }
 
+    ResponseMemory memory() {
+        return memory;
+    }
+
     long nowMillis() {
         return clockMillis.getAsLong();
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -20,8 +20,8 @@
 
 /**
  * One connection, which carries one request at a time. A response with another attempt's id belongs to an earlier
- * request and is skipped; one without an id may belong to an earlier request, and fails the present one; data that arrives while no request is pending closes the connection. Confined to the pool's
- * thread.
+ * request and is skipped; one without an id may belong to an earlier request, and fails the present one; data that
+ * arrives while no request is pending closes the connection. Confined to the pool's thread.
  */
 final class OutboundConnection extends ChannelInboundHandlerAdapter {
 
@@ -90,7 +90,7 @@
             @Override
             public void cancel() {
                 if (listener == responses) {
-                    listener = null;
+                    detach();
                     channel.close();
                 }
             }
@@ -98,10 +98,22 @@
     }
 
     void close() {
-        listener = null;
+        detach();
         channel.close();
     }
 
+    /**
+     * Fails the response in progress, as the memory for responses is used up.
+     */
+    void overflow() {
+        fail("response longer than the memory for responses allows");
+    }
+
+    private void detach() {
+        listener = null;
+        pool.memory().release(this);
+    }
+
     private FullHttpRequest message(OutboundRequest request) {
         ByteBuf body = request.body().retainedDuplicate();
         FullHttpRequest message = new DefaultFullHttpRequest(
@@ -173,6 +185,9 @@
         }
         if (content.content().isReadable()) {
             listener.onContent(content.content());
+            if (listener != null) {
+                pool.memory().hold(this, listener.bufferedBytes());
+            }
         }
         if (last && listener != null) {
             end();
@@ -185,7 +200,7 @@
             return;
         }
         ResponseListener done = listener;
-        listener = null;
+        detach();
         // A response that arrives before the request is fully written leaves part of it in flight, so the connection
         // can't carry another request yet.
         if (reusable && written && channel.isActive()) {
@@ -199,7 +214,7 @@
 
     private void fail(String reason) {
         ResponseListener failed = listener;
-        listener = null;
+        detach();
         channel.close();
         if (failed != null) {
             failed.onFailure(CallFailure.sent(reason));
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ResponseListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ResponseListener.java
@@ -19,6 +19,13 @@
      */
     void onContent(ByteBuf content);
 
+    /**
+     * Returns how much of the response the listener holds in memory, in bytes.
+     */
+    default long bufferedBytes() {
+        return 0;
+    }
+
     /**
      * Called when the response is complete.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
@@ -1,7 +1,6 @@
 package org.ragwortpitch.edge.traffic;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
@@ -10,6 +9,7 @@
 import org.ragwortpitch.edge.http.CallFailure;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.OutboundRequest;
+import org.ragwortpitch.edge.http.ResponseBody;
 import org.ragwortpitch.edge.http.ResponseListener;
 import org.ragwortpitch.placement.EngineState;
 
@@ -20,6 +20,9 @@
 
     private static final int OK = 200;
 
+    /** An event holds a few tokens; a longer one has no end. */
+    private static final int MAX_EVENT_BYTES = 1_048_576;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     /** An engine that has sent events for this long does not crash on the request, in milliseconds. */
@@ -31,7 +34,7 @@
     private final long uncachedTokens;
     private final StreamListener listener;
     private final EventSplitter splitter = new EventSplitter();
-    private final ByteBuf otherBody = Unpooled.buffer();
+    private final ResponseBody otherBody = new ResponseBody();
     private Cancellation currentSend = Cancellation.NONE;
     private boolean ended;
     private boolean prefilling = true;
@@ -122,10 +125,15 @@
     @Override
     public void onContent(ByteBuf content) {
         if (status != OK || !headers.contains(Headers.SEAL)) {
-            otherBody.writeBytes(content);
+            otherBody.append(content);
             return;
         }
         List<StreamEvent> events = splitter.feed(content);
+        if (splitter.restBytes() > MAX_EVENT_BYTES) {
+            cancel();
+            listener.onFailed(this, true, "event longer than " + MAX_EVENT_BYTES + " bytes");
+            return;
+        }
         if (events.isEmpty()) {
             return;
         }
@@ -140,6 +148,11 @@
         listener.onEvents(this, events);
     }
 
+    @Override
+    public long bufferedBytes() {
+        return otherBody.length() + splitter.restBytes();
+    }
+
     @Override
     public void onEnd(boolean framed) {
         finish();
@@ -148,7 +161,7 @@
         } else if (status == OK && !headers.contains(Headers.SEAL)) {
             listener.onFailed(this, true, "success status without a response seal");
         } else if (status != OK) {
-            listener.onOtherResponse(this, status, headers, otherBody);
+            listener.onOtherResponse(this, status, headers, otherBody.content());
         } else if (isStopped(framed) && !isOtherContent(framed)) {
             connectionLost = !framed;
             listener.onFailed(this, true, "the stream ended before the end of an event");
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EventSplitter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EventSplitter.java
@@ -46,6 +46,13 @@
         return Arrays.copyOf(pending, length);
     }
 
+    /**
+     * Returns the length of the last, incomplete event, in bytes.
+     */
+    int restBytes() {
+        return length;
+    }
+
     private void append(ByteBuf content) {
         int added = content.readableBytes();
         if (length + added > pending.length) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -221,16 +221,7 @@
     Optional<String> poisonReason() {
         return context.poisonRequests()
                 .poisonIn(crashCauses(), context.clockMillis().getAsLong())
-                .map(Exchange::describe);
-    }
-
-    private static String describe(CrashCause poison) {
-        return switch (poison.kind()) {
-            case BLOCK -> "prefix block " + poison + " of the prompt has crashed several engines: send the request"
-                    + " without it";
-            case REQUEST -> "several endpoints have crashed while they executed this request: it is not executed"
-                    + " again";
-        };
+                .map(PoisonRequests::describe);
     }
 
     private List<CrashCause> crashCauses() {
@@ -248,7 +239,7 @@
      */
     void forwardResponse(int status, HttpHeaders headers, ByteBuf body) {
         if (RefusalStatus.promisesNoExecution(status)) {
-            failUnstated("endpoint", status);
+            failOrRefuse(true, 0, "status " + status + " of an endpoint that may have executed the request");
         } else if (finish("passed", status, "")) {
             if (status < MIN_NON_SUCCESS_STATUS) {
                 recordSuccess();
@@ -285,12 +276,6 @@
         }
     }
 
-    private void failUnstated(String sender, int status) {
-        fail(
-                HttpResponseStatus.BAD_GATEWAY.code(),
-                sender + " answered with status " + status + " a request that may have been executed");
-    }
-
     /**
      * Forwards a complete response of another daemon and ends the exchange. A daemon's own refusals hold unless the
      * request may have been executed before it was passed on; the status of an endpoint promises nothing.
@@ -299,7 +284,7 @@
      */
     void forwardProxiedResponse(int status, HttpHeaders headers, ByteBuf body, boolean mayHaveExecuted) {
         if (RefusalStatus.promisesNoExecution(status) && (mayHaveExecuted || headers.contains(Headers.SEAL))) {
-            failUnstated("daemon", status);
+            failOrRefuse(true, 0, "status " + status + " of a daemon, after a possible execution");
         } else if (finish("proxied", status, "")) {
             response.sendFull(status, ForwardHeaders.ofResponse(headers), body);
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/PoisonRequests.java
@@ -206,4 +206,16 @@
                 .sorted()
                 .collect(Collectors.joining(","));
     }
+
+    /**
+     * Returns why a request is not executed again, for callers.
+     */
+    static String describe(CrashCause poison) {
+        return switch (poison.kind()) {
+            case BLOCK -> "prefix block " + poison + " of the prompt has crashed several engines: send the request"
+                    + " without it";
+            case REQUEST -> "several endpoints have crashed while they executed this request: it is not executed"
+                    + " again";
+        };
+    }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.lang.System.Logger;
@@ -15,6 +14,7 @@
 import org.ragwortpitch.edge.http.CallFailure;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.OutboundRequest;
+import org.ragwortpitch.edge.http.ResponseBody;
 import org.ragwortpitch.edge.http.ResponseListener;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
@@ -51,7 +51,7 @@
     private final ProxyHop hop;
     private final long lastEventId;
     private final Set<InstanceId> asked = new HashSet<>();
-    private final ByteBuf body = Unpooled.buffer();
+    private final ResponseBody body = new ResponseBody();
     private ProxyPeer peer;
     private Cancellation currentSend = Cancellation.NONE;
     private int status;
@@ -147,12 +147,17 @@
     @Override
     public void onContent(ByteBuf content) {
         if (!streaming) {
-            body.writeBytes(content);
+            body.append(content);
         } else if (!exchange.isDone()) {
             exchange.forwardChunk(ByteBufUtil.getBytes(content));
         }
     }
 
+    @Override
+    public long bufferedBytes() {
+        return body.length();
+    }
+
     @Override
     public void onEnd(boolean framed) {
         finish();
@@ -167,7 +172,7 @@
         } else if (exchange.isStreamBegun() || !framed) {
             exchange.fail(BAD_GATEWAY, "daemon did not complete the response: status " + status);
         } else {
-            exchange.forwardProxiedResponse(status, headers, body, hop.executions() > 0);
+            exchange.forwardProxiedResponse(status, headers, body.content(), hop.executions() > 0);
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -12,6 +11,7 @@
 import org.ragwortpitch.edge.http.CallFailure;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.OutboundRequest;
+import org.ragwortpitch.edge.http.ResponseBody;
 import org.ragwortpitch.edge.http.ResponseListener;
 import org.ragwortpitch.placement.EngineState;
 
@@ -29,7 +29,7 @@
     private final long uncachedTokens;
     private final Consumer<String> onHandle;
     private final Consumer<CallFailure> onFailure;
-    private final ByteBuf body = Unpooled.buffer();
+    private final ResponseBody body = new ResponseBody();
     private Cancellation currentSend = Cancellation.NONE;
     private LongSupplier clockMillis = () -> 0;
     private long sentMillis;
@@ -81,7 +81,12 @@
 
     @Override
     public void onContent(ByteBuf content) {
-        body.writeBytes(content);
+        body.append(content);
+    }
+
+    @Override
+    public long bufferedBytes() {
+        return body.length();
     }
 
     @Override
@@ -92,7 +97,7 @@
             return;
         }
         try {
-            onHandle.accept(EngineCodec.handle(ByteBufUtil.getBytes(body)));
+            onHandle.accept(EngineCodec.handle(ByteBufUtil.getBytes(body.content())));
         } catch (CodecException exception) {
             refuse(exception.getMessage());
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -1,7 +1,6 @@
 package org.ragwortpitch.edge.traffic;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.lang.System.Logger;
@@ -16,6 +15,7 @@
 import org.ragwortpitch.edge.http.CallFailure;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.OutboundSend;
+import org.ragwortpitch.edge.http.ResponseBody;
 import org.ragwortpitch.edge.http.ResponseListener;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
@@ -238,7 +238,7 @@
 
         private final EndpointState target;
         private final long sentMillis;
-        private final ByteBuf body = Unpooled.buffer();
+        private final ResponseBody body = new ResponseBody();
         private OutboundSend send;
         private ScheduledFuture<?> stallTimer;
         private boolean ended;
@@ -260,7 +260,12 @@
 
         @Override
         public void onContent(ByteBuf content) {
-            body.writeBytes(content);
+            body.append(content);
+        }
+
+        @Override
+        public long bufferedBytes() {
+            return body.length();
         }
 
         @Override
@@ -288,9 +293,9 @@
                 context.metrics().recordEndpointAnswer(now() - sentMillis);
             }
             if (error && mayRunOnAnotherEndpoint()) {
-                retryOrForwardError(status, headers, body);
+                retryOrForwardError(status, headers, body.content());
             } else {
-                exchange.forwardResponse(status, headers, body);
+                exchange.forwardResponse(status, headers, body.content());
             }
         }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/PlannedStopTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/PlannedStopTest.java
@@ -134,7 +134,7 @@
         assertTrue(served >= TENTHS, "requests early in the grace period are served: " + served);
     }
 
-    /** Guards against connections that are accepted after the last check that none is open, and cut with the process. */
+    /** Guards against connections that are accepted after the last check that none is open, and cut. */
     @Test
     void testNothingIsAcceptedOnceTheStopHasEnded() throws Exception {
         edge.drain();
--- a/edge/src/test/java/org/ragwortpitch/edge/StoreRestoreTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StoreRestoreTest.java
@@ -15,8 +15,10 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.ragwortpitch.adapter.UsageCodec;
 import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.edge.standin.DutyCall;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
+import org.ragwortpitch.edge.standin.StoreCopy;
 import org.ragwortpitch.edge.standin.TestDaemons;
 
 /**
@@ -88,7 +90,7 @@
         deploy(1, "check");
         endpoint.list(store, "app", "", "ready");
         List<Edge> edges = List.of(daemons.start("front-1"), daemons.start("front-2"));
-        StandinStore.Copy copy = store.copy();
+        StoreCopy copy = store.copy();
         serveUntilReported(edges, MIN_REPORTS);
         Set<String> before = Set.copyOf(reports().keySet());
         if (loss == Loss.RESTORED) {
@@ -106,7 +108,7 @@
     void testHoldersBeforeAndAfterARestoreHaveDifferentFencingTokens() throws Exception {
         deploy(1, "check");
         endpoint.list(store, "app", "", "ready");
-        StandinStore.Copy copy = store.copy();
+        StoreCopy copy = store.copy();
         List<Edge> edges = List.of(daemons.start("front-1"), daemons.start("front-2"));
         serveUntilReported(edges, 1);
         int before = store.dutyCalls().size();
@@ -114,7 +116,7 @@
         serveUntilReported(edges, MIN_REPORTS + 1);
         Map<String, String> holders = new HashMap<>();
         long highest = 0;
-        for (StandinStore.DutyCall call : store.dutyCalls()) {
+        for (DutyCall call : store.dutyCalls()) {
             String holder = holders.putIfAbsent(call.token(), call.holder());
             assertTrue(holder == null || holder.equals(call.holder()), "two holders with one token: " + call);
             assertTrue(Long.parseLong(call.token()) >= highest, "the token of a later holder is lower: " + call);
@@ -128,7 +130,7 @@
     void testDaemonIsListedAgainAfterARestore() throws Exception {
         deploy(1, "check");
         endpoint.list(store, "app", "", "ready");
-        StandinStore.Copy copy = store.copy();
+        StoreCopy copy = store.copy();
         Edge first = daemons.start("front-1");
         store.restore(copy, () -> {});
         Edge second = daemons.start("front-2");
@@ -139,7 +141,7 @@
     @Test
     void testRecordsAtOffsetsGivenOutAgainAreRead() throws Exception {
         deploy(1, "check");
-        StandinStore.Copy copy = store.copy();
+        StoreCopy copy = store.copy();
         endpoint.list(store, "app", "", "ready");
         StandinEndpoint second = closer.add(new StandinEndpoint("i-2"));
         Edge edge = daemons.start("front-1");
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -231,11 +231,18 @@
      * Adds its entry with another port, such as that of a proxy, to the store's endpoints topic.
      */
     public void list(StandinStore store, int port, String pool, String stage, String state) {
+        list(store, port, pool, stage, state, id);
+    }
+
+    /**
+     * Adds an entry of another endpoint, like its own, to the store's endpoints topic.
+     */
+    public void list(StandinStore store, int port, String pool, String stage, String state, String otherId) {
         String entry = "{\"Service\":\"" + pool + "\",\"Address\":\"127.0.0.1:" + port
                 + "\",\"Version\":\"" + version + "\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"" + state
                 + "\",\"Stage\":\"" + stage
                 + "\",\"Sequence\":1,\"born\":" + startMillis + "}";
-        store.put("keyed.servers", "servers/" + id, entry);
+        store.put("keyed.servers", "servers/" + otherId, entry);
     }
 
     private Cancellation handle(CallerRequest request, CallerResponse response) {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -146,8 +146,8 @@
     /**
      * Returns a copy of what it holds now, to be put back later.
      */
-    public Copy copy() {
-        return onLoop(() -> new Copy(copyOf(topics), generation));
+    public StoreCopy copy() {
+        return onLoop(() -> StoreCopy.of(topics, generation));
     }
 
     /**
@@ -156,11 +156,11 @@
      *
      * @param writtenFirst what is written before that which is written again
      */
-    public void restore(Copy copy, Runnable writtenFirst) {
+    public void restore(StoreCopy copy, Runnable writtenFirst) {
         onLoop(() -> {
-            Map<String, List<byte[]>> lost = copyOf(topics);
+            Map<String, List<byte[]>> lost = Map.copyOf(topics);
             topics.clear();
-            topics.putAll(copyOf(copy.topics()));
+            topics.putAll(StoreCopy.of(copy.topics(), 0).topics());
             writtenFirst.run();
             for (String topic : List.of(StoreCodec.OPERATORS_TOPIC, StoreCodec.ENDPOINTS_TOPIC)) {
                 List<byte[]> written = lost.getOrDefault(topic, List.of());
@@ -170,8 +170,7 @@
             era++;
             generation = copy.generation();
             memberExpiryMillis.clear();
-            passOnDuties();
-            return null;
+            return passOnDuties();
         });
     }
 
@@ -179,15 +178,13 @@
      * Assigns the duties to another member than before.
      */
     public void handOverDuties() {
-        onLoop(() -> {
-            passOnDuties();
-            return null;
-        });
+        onLoop(this::passOnDuties);
     }
 
-    private void passOnDuties() {
+    private boolean passOnDuties() {
         passedOver = holder == null ? "" : holder;
         holder = null;
+        return true;
     }
 
     /**
@@ -205,12 +202,6 @@
         }
     }
 
-    private static Map<String, List<byte[]>> copyOf(Map<String, List<byte[]>> topics) {
-        Map<String, List<byte[]>> copy = new HashMap<>();
-        topics.forEach((name, records) -> copy.put(name, new ArrayList<>(records)));
-        return copy;
-    }
-
     /**
      * Returns path and body of each duty call so far.
      */
@@ -400,19 +391,6 @@
         response.sendFull(200, headers(), Unpooled.wrappedBuffer(MAPPER.writeValueAsBytes(body)));
     }
 
-    /**
-     * A duty call.
-     *
-     * @param holder the lease holder that the caller states
-     * @param token  the fencing token that the caller states
-     */
-    public record DutyCall(String path, String holder, String token, String body) {}
-
-    /**
-     * A copy of the store's contents.
-     */
-    public record Copy(Map<String, List<byte[]>> topics, long generation) {}
-
     @Override
     public void close() {
         views.close();
--- a/soak/src/test/java/org/ragwortpitch/soak/DaemonProcessTest.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/DaemonProcessTest.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.URI;
@@ -10,14 +11,21 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
+import org.ragwortpitch.edge.standin.EndlessEndpoint;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
 import org.ragwortpitch.edge.standin.TestDaemons;
@@ -51,6 +59,25 @@
             "Tenants":[{"Name":"families","ApiKeys":["key"],"RatePerS":1000000,"Burst":1000000,"PlainTokens":1}]}
             """;
 
+    private static final int ENDLESS_REQUESTS = 20;
+
+    private static final int SOUND_REQUESTS = 60;
+
+    private static final String TWO_SERVICES =
+            """
+            {"Version":1,"Routes":[
+            {"Name":"check","Host":"IP","PathPrefix":"/check/","Kind":"safe","TimeoutMs":2000,
+            "TargetLatencyMs":500,"Service":"app","MaxAttempts":1},
+            {"Name":"faulty","Host":"IP","PathPrefix":"/faulty/","Kind":"unsafe","TimeoutMs":4000,
+            "TargetLatencyMs":500,"Service":"faulty","MaxAttempts":1},
+            {"Name":"ask","Host":"IP","PathPrefix":"/ask/","Kind":"streaming","TimeoutMs":4000,
+            "TargetLatencyMs":2000,"Service":"llm","MaxAttempts":1,"TargetGapMs":150}],
+            "Services":[{"Name":"app","MaxConnections":100},{"Name":"faulty","MaxConnections":100},
+            {"Name":"llm","MaxConnections":100,"Engine":{"Slots":64,"KvCapacityTokens":500000,
+            "KvTokenBytes":1,"LinkMbps":1000}}],
+            "Tenants":[{"Name":"families","ApiKeys":["key"],"RatePerS":1000000,"Burst":1000000,"PlainTokens":1}]}
+            """;
+
     private final Closer closer = new Closer();
     private final StandinStore store = closer.add(new StandinStore());
     private final HttpClient client =
@@ -126,6 +153,58 @@
         }
     }
 
+    /** Guards against endpoints that send without end, and take the memory that other callers' requests need. */
+    @ParameterizedTest
+    @EnumSource(EndlessEndpoint.Kind.class)
+    void testEndlessResponsesEndNoOtherRequests(EndlessEndpoint.Kind kind) throws Exception {
+        store.put("keyed.op", "config", TWO_SERVICES.replace("IP", ip));
+        StandinEndpoint sound = engine("i-1", "v1");
+        EndlessEndpoint endless = closer.add(new EndlessEndpoint(kind));
+        for (String pool : List.of("faulty", "llm")) {
+            sound.list(store, endless.port(), pool, "llm".equals(pool) ? "decode" : "", "ready", "e-" + pool);
+        }
+        // Listed last, so that the others are known once it serves.
+        sound.list(store, "app", "", "ready");
+        TestDaemons.await(() -> get("/check/x").get().statusCode() == 200);
+        List<CompletableFuture<HttpResponse<String>>> faulty = new ArrayList<>();
+        for (int request = 0; request < ENDLESS_REQUESTS; request++) {
+            faulty.add(get("/faulty/x"));
+            faulty.add(generation());
+        }
+        TestDaemons.await(() -> endless.answered() > 0);
+        for (int request = 0; request < SOUND_REQUESTS; request++) {
+            assertEquals(200, get("/check/x").get().statusCode(), "request " + request);
+        }
+        for (CompletableFuture<HttpResponse<String>> response : faulty) {
+            assertTrue(response.get(10, TimeUnit.SECONDS).statusCode() >= 500);
+        }
+        assertTrue(daemon.isAlive(), "the daemon ended: " + daemon.logged());
+        assertFalse(daemon.logged().contains("heap space"), "the daemon ran out of memory");
+    }
+
+    private CompletableFuture<HttpResponse<String>> get(String path) {
+        return send(request(path).GET());
+    }
+
+    private CompletableFuture<HttpResponse<String>> generation() {
+        return send(request("/ask/x")
+                .header(Headers.TOKENS, "100,5")
+                .header(Headers.PREFIX_BLOCKS, "a:100")
+                .POST(HttpRequest.BodyPublishers.ofString("prompt")));
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + daemon.front() + path))
+                .timeout(Duration.ofSeconds(10))
+                .header("Authorization", "Bearer key")
+                .header(Headers.ATTEMPT, UUID.randomUUID().toString())
+                .header(Headers.DEADLINE, "5000");
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(HttpRequest.Builder request) {
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Guards against a stop that can't be explained afterwards, as the log ends with its first line. */
     @Test
     void testPlannedStopIsLoggedToItsEnd() throws Exception {
--- a/soak/src/test/java/org/ragwortpitch/soak/Guarantees.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/Guarantees.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.edge.standin.DutyCall;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
-import org.ragwortpitch.edge.standin.StandinStore;
 
 /**
  * Checks what callers, endpoints and the store observed against the guarantees of the system.
@@ -72,10 +72,10 @@
         check(!planned || !outcome.cut() || runs == 0, "cut off during a planned operation: " + outcome);
     }
 
-    private void checkDuties(List<StandinStore.DutyCall> calls) {
+    private void checkDuties(List<DutyCall> calls) {
         Map<String, String> holders = new HashMap<>();
         Map<String, String> reports = new HashMap<>();
-        for (StandinStore.DutyCall call : calls) {
+        for (DutyCall call : calls) {
             String holder = holders.putIfAbsent(call.path() + call.token(), call.holder());
             check(holder == null || holder.equals(call.holder()), "two holders with one fencing token: " + call);
             if ("/usage".equals(call.path())) {
