--- a/soak/src/test/java/org/ragwortpitch/soak/DaemonUnderTest.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/DaemonUnderTest.java
@@ -23,11 +23,32 @@
     private final Path settings;
     private final Path log;
     private final String mainClass;
+    private final List<String> classPaths;
+    private int starts;
     private volatile Process process;
     private volatile boolean exitExpected;
 
+    /** Creates a daemon of the present version. */
     DaemonUnderTest(Path directory, String name, String ip, String domain, FaultProxy store, String mainClass)
             throws IOException {
+        this(directory, name, ip, domain, store, mainClass, List.of(System.getProperty("java.class.path")));
+    }
+
+    /**
+     * Creates a daemon of several versions, which take turns from start to start.
+     *
+     * @param classPaths of each version
+     */
+    DaemonUnderTest(
+            Path directory,
+            String name,
+            String ip,
+            String domain,
+            FaultProxy store,
+            String mainClass,
+            List<String> classPaths)
+            throws IOException {
+        this.classPaths = classPaths;
         this.name = name;
         this.ip = ip;
         this.store = store;
@@ -69,7 +90,7 @@
                     "-XX:+UseSerialGC",
                     "-XX:TieredStopAtLevel=1",
                     "-cp",
-                    System.getProperty("java.class.path"),
+                    classPaths.get(starts++ % classPaths.size()),
                     mainClass));
             builder.environment().put("RAGWORTPITCH_NODE_FILE", settings.toString());
             builder.redirectErrorStream(true);
--- a/soak/src/test/java/org/ragwortpitch/soak/SoakWorld.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/SoakWorld.java
@@ -78,15 +78,34 @@
             }
             int storePort = Integer.parseInt(store.addressWithPorts(ports).replaceAll(".*:", ""));
             FaultProxy link = new FaultProxy(() -> storePort);
-            String main = (daemon == DAEMONS ? SkewedMain.class.getName() : "org.ragwortpitch.edge.Main");
-            DaemonUnderTest added = closer.add(
-                    new DaemonUnderTest(directory, "front-" + daemon, network + daemon, "zone-" + daemon, link, main));
+            boolean skewed = daemon == DAEMONS;
+            DaemonUnderTest added = closer.add(new DaemonUnderTest(
+                    directory,
+                    "front-" + daemon,
+                    network + daemon,
+                    "zone-" + daemon,
+                    link,
+                    skewed ? SkewedMain.class.getName() : "org.ragwortpitch.edge.Main",
+                    classPaths(seed, skewed)));
             daemons.add(added);
             endpointPaths.put(added, paths);
             added.start();
         }
     }
 
+    /**
+     * Returns the versions that a daemon has in turn. With a previous version, daemons are replaced by the other one at
+     * each start: from the previous one to the present one by even seeds, back from it by odd ones.
+     */
+    private static List<String> classPaths(long seed, boolean skewed) {
+        String present = System.getProperty("java.class.path");
+        String previous = System.getProperty("soak.previous", "");
+        if (previous.isEmpty() || skewed) {
+            return List.of(present);
+        }
+        return seed % 2 == 0 ? List.of(previous, present) : List.of(present, previous);
+    }
+
     private void add(String id, String pool, String role) throws IOException {
         StandinEndpoint endpoint = closer.add(new StandinEndpoint(id));
         endpoint.pace("app".equals(pool) ? 10 : 20);
