Replace a record of an earlier holder that can't be read

Found while reading: a mark or first era in keyed.duties that can't be decoded would stop all reports and duties of every later holder, as one odd entry must not. An unreadable mark now leaves out the windows that have begun, an unreadable first era is replaced. Measured: testUnreadableRecordOfAnEarlierHolderIsReplaced failed for both records before (nothing reported within 15 s), and passes.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/FencingTokens.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FencingTokens.java
@@ -71,24 +71,36 @@
                 record();
             }
         } catch (CodecException exception) {
-            Event.of("first-era-unreadable")
-                    .with("reason", exception.getMessage())
-                    .warn(LOGGER);
+            logUnreadable(exception);
         }
     }
 
+    private static void logUnreadable(CodecException exception) {
+        Event.of("first-era-unreadable").with("reason", exception.getMessage()).warn(LOGGER);
+    }
+
     private static OptionalLong storedEra(CallResponse response) throws CodecException {
         if (!response.isOk()) {
             throw new CodecException("load returned status " + response.status());
         }
         for (KeyedRecord entry : StoreCodec.compactedPage(response.body()).records()) {
             if (DutyRecordCodec.FIRST_ERA_KEY.equals(entry.key())) {
-                return OptionalLong.of(DutyRecordCodec.decodeFirstEra(entry.value()));
+                return decode(entry);
             }
         }
         return OptionalLong.empty();
     }
 
+    /** Decodes the first era; one that can't be read is replaced, as if there were none. */
+    private static OptionalLong decode(KeyedRecord entry) {
+        try {
+            return OptionalLong.of(DutyRecordCodec.decodeFirstEra(entry.value()));
+        } catch (CodecException exception) {
+            logUnreadable(exception);
+            return OptionalLong.empty();
+        }
+    }
+
     private void record() {
         busy = true;
         byte[] record = StoreCodec.encodeKeyed(DutyRecordCodec.FIRST_ERA_KEY, DutyRecordCodec.encodeFirstEra(firstEra));
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
@@ -144,9 +144,7 @@
                 Optional<ReportMark> stored = storedMark(response);
                 readLedger(() -> resume(stored));
             } catch (CodecException exception) {
-                Event.of("report-mark-unreadable")
-                        .with("reason", exception.getMessage())
-                        .warn(LOGGER);
+                logUnreadableMark(exception);
             }
         });
     }
@@ -157,12 +155,28 @@
         }
         for (KeyedRecord entry : StoreCodec.compactedPage(response.body()).records()) {
             if (DutyRecordCodec.REPORT_MARK_KEY.equals(entry.key())) {
-                return Optional.of(DutyRecordCodec.decodeMark(entry.value()));
+                return Optional.of(decode(entry));
             }
         }
         return Optional.empty();
     }
 
+    /** Decodes a mark; one that can't be read tells no more than that there was one. */
+    private static ReportMark decode(KeyedRecord entry) {
+        try {
+            return DutyRecordCodec.decodeMark(entry.value());
+        } catch (CodecException exception) {
+            logUnreadableMark(exception);
+            return ReportMark.UNKNOWN;
+        }
+    }
+
+    private static void logUnreadableMark(CodecException exception) {
+        Event.of("report-mark-unreadable")
+                .with("reason", exception.getMessage())
+                .warn(LOGGER);
+    }
+
     private void resume(Optional<ReportMark> stored) {
         ReportMark resumed = ReportMark.resume(
                 stored,
--- a/edge/src/test/java/org/ragwortpitch/edge/StoreRestoreTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/StoreRestoreTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ragwortpitch.adapter.DutyRecordCodec;
 import org.ragwortpitch.adapter.UsageCodec;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.DutyCall;
@@ -125,6 +127,16 @@
         assertTrue(store.dutyCalls().size() > before && holders.size() > 1, "another holder acted after the restore");
     }
 
+    /** Guards against usage that is never reported, as a record of an earlier holder can't be read. */
+    @ParameterizedTest
+    @ValueSource(strings = {DutyRecordCodec.REPORT_MARK_KEY, DutyRecordCodec.FIRST_ERA_KEY})
+    void testUnreadableRecordOfAnEarlierHolderIsReplaced(String key) throws Exception {
+        store.put(DutyRecordCodec.TOPIC, key, "{\"era\":\"odd\"");
+        deploy(1, "check");
+        endpoint.list(store, "app", "", "ready");
+        serveUntilReported(List.of(daemons.start("front-1")), 1);
+    }
+
     /** Guards against a daemon that others don't hear of, as the store has lost its entry. */
     @Test
     void testDaemonIsListedAgainAfterARestore() throws Exception {
--- a/policy/src/main/java/org/ragwortpitch/ledger/ReportMark.java
+++ b/policy/src/main/java/org/ragwortpitch/ledger/ReportMark.java
@@ -13,6 +13,9 @@
  */
 public record ReportMark(long era, long nextWindow, long ledgerOffset) {
 
+    /** A mark of no era, from which no reporter goes on. */
+    public static final ReportMark UNKNOWN = new ReportMark(-1, 0, 0);
+
     /**
      * Returns the mark from which a reporter goes on. Unless the ledger is known to hold all that was frozen since the
      * stored mark, every window that has begun may have been reported with figures that are gone, and is left out.
