--- a/edge/src/main/java/org/ragwortpitch/edge/GracefulStop.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/GracefulStop.java
@@ -57,25 +57,25 @@
         TimeUnit.MILLISECONDS.sleep((long) (graceMillis * CLOSE_IDLE_FRACTION));
         trafficLoop.execute(recordUsage);
         boolean accepting = true;
+        boolean done;
         int connections;
         do {
             trafficLoop.execute(() -> servers.forEach(FrontServer::closeIdle));
             TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
             connections = onTrafficLoop(this::connections);
-            if (accepting && (connections == 0 || clockMillis.getAsLong() >= endMillis)) {
-                // A request that is accepted after the last check would end with the process.
+            boolean outOfTime = clockMillis.getAsLong() >= endMillis;
+            // Listening sockets are closed in the event loop's next pass, so connections are counted once more after
+            // it: a
+            // request that is accepted after the last check would end with the process.
+            done = outOfTime || !accepting && connections == 0;
+            if (accepting && (connections == 0 || outOfTime)) {
                 accepting = false;
-                connections = onTrafficLoop(this::stopAccepting);
+                trafficLoop.execute(() -> servers.forEach(FrontServer::stopAccepting));
             }
-        } while (clockMillis.getAsLong() < endMillis && connections > 0);
+        } while (!done);
         Event.of("stopped").with("connections", connections).info(LOGGER);
     }
 
-    private int stopAccepting() {
-        servers.forEach(FrontServer::stopAccepting);
-        return connections();
-    }
-
     private int connections() {
         return servers.stream().mapToInt(FrontServer::connections).sum();
     }
