Log and count each response that was not taken for the answer to the pending request

Cause: a skipped response left no trace, one without an attempt id only the reason of a 502, and no line named the connection, so the hypotheses on responses that reach other callers could not be told apart. Change: event=unexpected-response with the ids of response, pending and previous request, status, seal, connection and its number of requests; a counter by origin. What the id tells is decided by ResponseOrigin; no decision changes.

--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -10,6 +10,7 @@
 import java.io.UncheckedIOException;
 import java.util.Locale;
 import org.ragwortpitch.deployment.Route;
+import org.ragwortpitch.response.ResponseOrigin;
 
 /**
  * Prometheus metrics of a daemon. Label values are bounded: kinds, outcomes and statuses, never routes, accounts or
@@ -51,6 +52,11 @@
             .name("ragwortpitch_retry_budget_denials_total")
             .help("Retries that the retry budget did not allow")
             .register(registry);
+    private final Counter unexpectedResponses = Counter.builder()
+            .name("ragwortpitch_unexpected_responses_total")
+            .help("Responses of endpoints that answer no pending request, by what their attempt id tells")
+            .labelNames("origin")
+            .register(registry);
     private final Gauge deploymentVersion = Gauge.builder()
             .name("ragwortpitch_deployment_version")
             .help("The version of the configuration in force")
@@ -106,6 +112,15 @@
         losses.labelValues(dependency).inc();
     }
 
+    /**
+     * Counts a response of an endpoint that was not taken for the answer to the pending request.
+     */
+    public void recordUnexpectedResponse(ResponseOrigin origin) {
+        unexpectedResponses
+                .labelValues(origin.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+                .inc();
+    }
+
     /**
      * Sets the version of the configuration that is in force.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionObserver.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionObserver.java
@@ -34,4 +34,9 @@
      * Called with the head of each response from an address, whatever request it answers.
      */
     void onResponse(String address, int status, HttpHeaders headers);
+
+    /**
+     * Called with each response that was not taken for the answer to the pending request.
+     */
+    default void onUnexpectedResponse(UnexpectedResponse response) {}
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -20,6 +21,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import jdk.net.ExtendedSocketOptions;
+import org.ragwortpitch.logging.Event;
 
 /**
  * A pool of HTTP/1.1 connections by address. The most recently used connection is reused first, so that surplus
@@ -27,6 +29,8 @@
  */
 public final class ConnectionPool {
 
+    private static final Logger LOGGER = System.getLogger(ConnectionPool.class.getName());
+
     private static final int MAX_LINE_BYTES = 8_192;
 
     /** Many short headers take some thirty times as much memory. */
@@ -153,6 +157,22 @@
         observer.onResponse(connection.address(), head.status().code(), head.headers());
     }
 
+    void unexpected(UnexpectedResponse response) {
+        Event.of("unexpected-response")
+                .with("address", response.address())
+                .with("connection", response.connection())
+                .with("requests", response.requests())
+                .with("previous", response.previousId())
+                .with("request", response.pendingId())
+                .with("response", response.receivedId())
+                .with("status", response.status())
+                .with("sealed", response.sealed())
+                .with("origin", response.origin())
+                .with("outcome", response.outcome())
+                .info(LOGGER);
+        observer.onUnexpectedResponse(response);
+    }
+
     void heard(OutboundConnection connection) {
         observer.onHeard(connection.address());
     }
@@ -192,7 +212,7 @@
 
     private OutboundSend connectAndSend(String address, OutboundRequest request, ResponseListener listener) {
         opened++;
-        OutboundConnection connection = new OutboundConnection(this, address);
+        OutboundConnection connection = new OutboundConnection(this, address, opened);
         PendingSend pending = new PendingSend();
         request.body().retain();
         ChannelFuture connecting = bootstrap
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.response.ResponseOrigin;
 
 /**
  * One connection, which carries one request at a time. A response with another attempt's id belongs to an earlier
@@ -31,9 +32,11 @@
     private final String address;
     private Channel channel;
     private ResponseListener listener;
+    private final long number;
     private String attemptId = "";
-    private boolean identified;
-    private boolean used;
+    private String previousId = "";
+    private boolean echoed;
+    private int requests;
     private boolean skippingResponse;
     private boolean written;
     private boolean reusable;
@@ -42,9 +45,15 @@
     private long idleLimitMillis = Long.MAX_VALUE;
     private long idleSinceMillis;
 
-    OutboundConnection(ConnectionPool pool, String address) {
+    /**
+     * Creates a connection that is yet to be opened.
+     *
+     * @param number in the order of the pool's connections, for the log
+     */
+    OutboundConnection(ConnectionPool pool, String address, long number) {
         this.pool = pool;
         this.address = address;
+        this.number = number;
     }
 
     String address() {
@@ -68,9 +77,10 @@
 
     OutboundSend send(OutboundRequest request, ResponseListener responses) {
         listener = responses;
+        previousId = attemptId;
         attemptId = request.attemptId();
-        identified = used && request.echoed();
-        used = true;
+        echoed = request.echoed();
+        requests++;
         written = false;
         skippingResponse = false;
         reusable = true;
@@ -138,7 +148,7 @@
         try {
             HttpObject part = (HttpObject) message;
             if (listener == null) {
-                channel.close();
+                closeForExcess(part);
             } else if (part.decoderResult().isFailure()) {
                 fail("invalid HTTP response: " + part.decoderResult().cause());
             } else {
@@ -158,15 +168,29 @@
         }
     }
 
+    /**
+     * Closes the connection as the peer has sent more than the responses to its requests.
+     */
+    private void closeForExcess(HttpObject part) {
+        if (part instanceof HttpResponse head) {
+            report(head, ResponseOrigin.UNKNOWN, "connection closed, no request was pending");
+        }
+        channel.close();
+    }
+
     private void readHead(HttpResponse head) {
         pool.responded(this, head);
-        String id = head.headers().get(Headers.ATTEMPT, "");
-        boolean ofOtherAttempt = !id.isEmpty() && !attemptId.isEmpty() && !id.equals(attemptId);
-        skippingResponse = ofOtherAttempt || head.status().code() < FIRST_FINAL_STATUS;
+        ResponseOrigin origin = ResponseOrigin.of(attemptId, idOf(head), echoed, requests > 1);
+        skippingResponse =
+                origin == ResponseOrigin.OTHER_REQUEST || head.status().code() < FIRST_FINAL_STATUS;
         if (skippingResponse) {
+            if (origin == ResponseOrigin.OTHER_REQUEST) {
+                report(head, origin, "skipped");
+            }
             return;
         }
-        if (identified && id.isEmpty()) {
+        if (origin == ResponseOrigin.UNKNOWN) {
+            report(head, origin, "failed");
             fail("response without an attempt id on a connection that carried another request: status "
                     + head.status().code());
             return;
@@ -177,6 +201,25 @@
         listener.onHead(head.status().code(), head.headers());
     }
 
+    private static String idOf(HttpResponse head) {
+        return head.headers().get(Headers.ATTEMPT, "");
+    }
+
+    private void report(HttpResponse head, ResponseOrigin origin, String outcome) {
+        boolean pending = listener != null;
+        pool.unexpected(new UnexpectedResponse(
+                address,
+                number,
+                requests,
+                pending ? previousId : attemptId,
+                pending ? attemptId : "",
+                idOf(head),
+                head.status().code(),
+                head.headers().contains(Headers.SEAL),
+                origin,
+                outcome));
+    }
+
     private void readContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (skippingResponse) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
@@ -20,6 +20,7 @@
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.ConnectionObserver;
+import org.ragwortpitch.edge.http.UnexpectedResponse;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
@@ -99,6 +100,11 @@
         });
     }
 
+    @Override
+    public void onUnexpectedResponse(UnexpectedResponse response) {
+        metrics.recordUnexpectedResponse(response.origin());
+    }
+
     /**
      * Returns whether this daemon reaches no endpoint of a pool.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
@@ -10,7 +10,9 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -30,7 +32,14 @@
 
     private final TestEventLoop loops = new TestEventLoop();
 
-    private final ConnectionPool pool = new ConnectionPool(loops.loop(), 500, TestEventLoop.CLOCK_MILLIS);
+    private final List<String> unexpected = new CopyOnWriteArrayList<>();
+
+    private final ConnectionPool pool = new ConnectionPool(
+            loops.loop(),
+            500,
+            TestEventLoop.CLOCK_MILLIS,
+            new UnexpectedResponses(unexpected),
+            ResponseMemory.forControl());
 
     @AfterEach
     void close() {
@@ -127,6 +136,49 @@
         assertEquals(Long.MAX_VALUE, KeepAlive.limitMillis(null));
     }
 
+    /** Guards against a response that belongs to no pending request and leaves no trace. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HTTP/1.1 200 OK\\r\\nX-Ragwortpitch-Attempt-Id: other\\r\\nContent-Length: 0\\r\\n\\r\\n" + COMPLETE
+                        + "|me me other 200 OTHER_REQUEST",
+                "HTTP/1.1 503 Busy\\r\\nContent-Length: 0\\r\\n\\r\\n" + COMPLETE + "|me me  503 UNKNOWN"
+            })
+    void testUnexpectedResponseIsReported(String script, String expected) throws Exception {
+        try (ScriptedPeer peer = new ScriptedPeer(unescape(COMPLETE), unescape(script))) {
+            send(peer.address());
+            send(peer.address());
+            assertEquals(expected, unexpected.get(0));
+        }
+    }
+
+    /**
+     * Renders responses that were not taken for the answer to a request as text.
+     */
+    private record UnexpectedResponses(List<String> lines) implements ConnectionObserver {
+
+        @Override
+        public void onHeard(String address) {}
+
+        @Override
+        public void onConnectFailed(String address) {}
+
+        @Override
+        public void onResponse(String address, int status, HttpHeaders headers) {}
+
+        @Override
+        public void onUnexpectedResponse(UnexpectedResponse response) {
+            lines.add(String.join(
+                    " ",
+                    response.previousId(),
+                    response.pendingId(),
+                    response.receivedId(),
+                    Integer.toString(response.status()),
+                    response.origin().name()));
+        }
+    }
+
     /**
      * Renders the outcome of a request as text.
      */
