Send no attempt over a connection that has carried it before

Callers could get the copy of an earlier send's answer, or a wasted transfer: an attempt id names a caller's attempt, not a send, and an attempt is sent to one endpoint more than once (a prefill again after the decode engine failed, a caller that uses an id twice). If the endpoint answers twice, the copy of the first answer bears the id of the second send and passed for its answer. Change: a connection remembers its last 16 attempt ids, and the pool takes another one for an attempt that is among them.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -102,7 +102,7 @@
      * @return cancels the request and closes its connection
      */
     public OutboundSend send(String address, OutboundRequest request, long maxIdleMillis, ResponseListener listener) {
-        OutboundConnection connection = takeIdle(address, maxIdleMillis);
+        OutboundConnection connection = takeIdle(address, maxIdleMillis, request.attemptId());
         return connection != null ? connection.send(request, listener) : connectAndSend(address, request, listener);
     }
 
@@ -198,16 +198,29 @@
         }
     }
 
-    private OutboundConnection takeIdle(String address, long maxIdleMillis) {
+    /**
+     * Removes and returns the most recently used connection that is fresh and has not carried a request of the attempt;
+     * null if there is none.
+     */
+    private OutboundConnection takeIdle(String address, long maxIdleMillis, String attemptId) {
         Deque<OutboundConnection> connections = idle.get(address);
-        while (connections != null && !connections.isEmpty()) {
+        if (connections == null) {
+            return null;
+        }
+        Deque<OutboundConnection> passedOver = new ArrayDeque<>();
+        OutboundConnection taken = null;
+        while (taken == null && !connections.isEmpty()) {
             OutboundConnection connection = connections.pop();
-            if (connection.isFresh(maxIdleMillis, nowMillis())) {
-                return connection;
+            if (!connection.isFresh(maxIdleMillis, nowMillis())) {
+                connection.close();
+            } else if (connection.hasCarried(attemptId)) {
+                passedOver.push(connection);
+            } else {
+                taken = connection;
             }
-            connection.close();
         }
-        return null;
+        passedOver.forEach(connections::push);
+        return taken;
     }
 
     private OutboundSend connectAndSend(String address, OutboundRequest request, ResponseListener listener) {
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.response.ResponseOrigin;
 
@@ -28,8 +30,12 @@
 
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /** Requests back to which a late response is told from that to a request with the same attempt id. */
+    private static final int REMEMBERED_ATTEMPTS = 16;
+
     private final ConnectionPool pool;
     private final String address;
+    private final Deque<String> carriedIds = new ArrayDeque<>();
     private Channel channel;
     private ResponseListener listener;
     private final long number;
@@ -71,6 +77,16 @@
         return channel.isActive() && idleMillis < Math.min(idleLimitMillis, maxIdleMillis);
     }
 
+    /**
+     * Returns whether the connection has lately carried a request of an attempt, so that a late response to that one
+     * would pass for the response to another request of the attempt.
+     *
+     * @param id the attempt id; empty if the request has none
+     */
+    boolean hasCarried(String id) {
+        return carriedIds.contains(id);
+    }
+
     void opened(Channel open) {
         channel = open;
     }
@@ -81,6 +97,7 @@
         attemptId = request.attemptId();
         echoed = request.echoed();
         requests++;
+        rememberAttempt();
         written = false;
         skippingResponse = false;
         reusable = true;
@@ -124,6 +141,15 @@
         pool.memory().release(this);
     }
 
+    private void rememberAttempt() {
+        if (!attemptId.isEmpty()) {
+            carriedIds.addLast(attemptId);
+            if (carriedIds.size() > REMEMBERED_ATTEMPTS) {
+                carriedIds.removeFirst();
+            }
+        }
+    }
+
     private FullHttpRequest message(OutboundRequest request) {
         ByteBuf body = request.body().retainedDuplicate();
         FullHttpRequest message = new DefaultFullHttpRequest(
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.edge.standin.ScriptedPeer;
 import org.ragwortpitch.edge.standin.TestEventLoop;
 
@@ -28,10 +29,12 @@
 class ConnectionPoolTest {
 
     private static final String COMPLETE =
-            "HTTP/1.1 200 OK\\r\\nX-Ragwortpitch-Attempt-Id: me\\r\\nContent-Length: 2\\r\\n\\r\\nok";
+            "HTTP/1.1 200 OK\\r\\nX-Ragwortpitch-Attempt-Id: {id}\\r\\nContent-Length: 2\\r\\n\\r\\nok";
 
     private final TestEventLoop loops = new TestEventLoop();
 
+    private int attempts;
+
     private final List<String> unexpected = new CopyOnWriteArrayList<>();
 
     private final ConnectionPool pool = new ConnectionPool(
@@ -48,8 +51,11 @@
 
     private String send(String address) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
-        OutboundRequest request = new OutboundRequest(
-                "POST", "/x", new DefaultHttpHeaders(), Unpooled.copiedBuffer("body", StandardCharsets.US_ASCII), "me");
+        attempts++;
+        String id = "attempt-" + attempts;
+        HttpHeaders headers = new DefaultHttpHeaders().set(Headers.ATTEMPT, id);
+        ByteBuf body = Unpooled.copiedBuffer("body", StandardCharsets.US_ASCII);
+        OutboundRequest request = new OutboundRequest("POST", "/x", headers, body, id);
         loops.loop().execute(() -> pool.send(address, request, Long.MAX_VALUE, new Recorder(outcome)));
         return outcome.get(5, TimeUnit.SECONDS);
     }
@@ -142,8 +148,8 @@
             delimiter = '|',
             value = {
                 "HTTP/1.1 200 OK\\r\\nX-Ragwortpitch-Attempt-Id: other\\r\\nContent-Length: 0\\r\\n\\r\\n" + COMPLETE
-                        + "|me me other 200 OTHER_REQUEST",
-                "HTTP/1.1 503 Busy\\r\\nContent-Length: 0\\r\\n\\r\\n" + COMPLETE + "|me me  503 UNKNOWN"
+                        + "|attempt-1 attempt-2 other 200 OTHER_REQUEST",
+                "HTTP/1.1 503 Busy\\r\\nContent-Length: 0\\r\\n\\r\\n" + COMPLETE + "|attempt-1 attempt-2  503 UNKNOWN"
             })
     void testUnexpectedResponseIsReported(String script, String expected) throws Exception {
         try (ScriptedPeer peer = new ScriptedPeer(unescape(COMPLETE), unescape(script))) {
--- /dev/null
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -0,0 +1,164 @@
+package org.ragwortpitch.edge.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BinaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.adapter.HttpCall;
+import org.ragwortpitch.edge.standin.StutteringPeer;
+import org.ragwortpitch.edge.standin.TestEventLoop;
+
+/**
+ * Tests what requests get from an endpoint that writes more than one response where one is due.
+ */
+class ExtraResponseTest {
+
+    private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n";
+
+    private final TestEventLoop loops = new TestEventLoop();
+
+    private final List<Integer> heard = new CopyOnWriteArrayList<>();
+
+    private final ConnectionPool pool = new ConnectionPool(
+            loops.loop(), 500, TestEventLoop.CLOCK_MILLIS, new Statuses(heard), ResponseMemory.forControl());
+
+    @AfterEach
+    void close() {
+        loops.close();
+    }
+
+    private CompletableFuture<String> send(String method, String address, String attemptId) {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        loops.loop().execute(() -> sendNow(method, address, attemptId, outcome));
+        return outcome;
+    }
+
+    private void sendNow(String method, String address, String attemptId, CompletableFuture<String> outcome) {
+        HttpHeaders headers = new DefaultHttpHeaders().set(Headers.ATTEMPT, attemptId);
+        OutboundRequest request = new OutboundRequest(method, "/x", headers, Unpooled.EMPTY_BUFFER, attemptId);
+        pool.send(address, request, Long.MAX_VALUE, new Recorder(outcome));
+    }
+
+    private String get(String address, String attemptId) throws Exception {
+        return send("GET", address, attemptId).get(5, TimeUnit.SECONDS);
+    }
+
+    private static String expected(String attemptId, int number) {
+        return "200 " + StutteringPeer.body(attemptId, number);
+    }
+
+    /** What stands where the answer to a request on a kept connection is due; the answer follows. */
+    enum Extra {
+        COPY((previous, present) -> previous + present),
+        COPY_WITHOUT_ID((previous, present) -> StutteringPeer.withoutId(previous) + present),
+        TWO_COPIES_WITHOUT_ID((previous, present) ->
+                StutteringPeer.withoutId(previous) + StutteringPeer.withoutId(previous) + present),
+        COPY_WITHOUT_ID_AND_ANSWER_LATER(
+                (previous, present) -> StutteringPeer.withoutId(previous) + StutteringPeer.LATER + present),
+        REFUSAL_WITHOUT_ID((previous, present) -> REFUSAL + present),
+        COPY_IN_CHUNKS((previous, present) ->
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n" + present),
+        INTERIM((previous, present) -> "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + present),
+        NO_CONTENT((previous, present) -> "HTTP/1.1 204 No Content\r\n\r\n" + present);
+
+        private final BinaryOperator<String> stutter;
+
+        Extra(BinaryOperator<String> stutter) {
+            this.stutter = stutter;
+        }
+
+        String write(String previous, String present) {
+            return previous.isEmpty() ? present : stutter.apply(previous, present);
+        }
+    }
+
+    /** Guards against a copy of the answer to one send of an attempt that passes for the answer to a later send. */
+    @ParameterizedTest
+    @EnumSource(names = "COPY")
+    void testAttemptThatIsSentAgainGetsNoCopyOfItsEarlierAnswer(Extra extra) throws Exception {
+        try (StutteringPeer peer = new StutteringPeer(extra::write)) {
+            assertEquals(expected("a", 1), get(peer.address(), "a"));
+            assertEquals(expected("a", 2), get(peer.address(), "a"));
+            assertEquals(2, peer.connections());
+            assertEquals(expected("b", 3), get(peer.address(), "b"));
+            assertEquals(2, peer.connections(), "another attempt uses either");
+        }
+    }
+
+    private String call(String address) throws Exception {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        BufferingHttpCaller caller = new BufferingHttpCaller(loops.loop(), pool);
+        HttpCall call = new HttpCall("DELETE", "/x", Map.of(), new byte[0]);
+        loops.loop()
+                .execute(() -> caller.call(
+                        address,
+                        call,
+                        2_000,
+                        response -> outcome.complete(new String(response.body(), StandardCharsets.US_ASCII)),
+                        failure -> outcome.complete("failed")));
+        return outcome.get(5, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Records the status of each response that is heard.
+     */
+    private record Statuses(List<Integer> heard) implements ConnectionObserver {
+
+        @Override
+        public void onHeard(String address) {}
+
+        @Override
+        public void onConnectFailed(String address) {}
+
+        @Override
+        public void onResponse(String address, int status, HttpHeaders headers) {
+            heard.add(status);
+        }
+    }
+
+    /**
+     * Renders the outcome of a request as text.
+     */
+    private static final class Recorder implements ResponseListener {
+
+        private final CompletableFuture<String> outcome;
+        private final StringBuilder text = new StringBuilder();
+
+        Recorder(CompletableFuture<String> outcome) {
+            this.outcome = outcome;
+        }
+
+        @Override
+        public void onHead(int status, HttpHeaders headers) {
+            text.append(status).append(' ');
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {
+            text.append(content.toString(StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public void onEnd(boolean framed) {
+            outcome.complete(text.toString());
+        }
+
+        @Override
+        public void onFailure(CallFailure failure) {
+            outcome.complete("failed");
+        }
+    }
+}
