Skip a response without an attempt id and wait for the answer that follows

Callers got a 502, and safe requests cost a repeat, when an endpoint wrote an earlier answer once more without its id on a kept connection, although the true answer followed: failed the request at such a response. Responses with another id were skipped without a bound. Change: a response without an id on a connection that carried another request is skipped; the answer has to bear the id, within 1 s, else the request fails as before. The connection isn't reused. More than 16 skipped responses fail the request. Nothing without an id is taken for an answer on such a connection, so no other caller's answer is.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -16,20 +16,29 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.response.ResponseOrigin;
 
 /**
  * One connection, which carries one request at a time. A response with another attempt's id belongs to an earlier
- * request and is skipped; one without an id may belong to an earlier request, and fails the present one; data that
- * arrives while no request is pending closes the connection. Confined to the pool's thread.
+ * request and is skipped; so is one without an id on a connection that carried another request, after which the answer
+ * has to follow within a second. Data that arrives while no request is pending closes the connection. Confined to the
+ * pool's thread.
  */
 final class OutboundConnection extends ChannelInboundHandlerAdapter {
 
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /** Extra responses that are skipped while a request is pending; a peer that sends more has lost track. */
+    private static final int MAX_SKIPPED_RESPONSES = 16;
+
+    /** Time for the answer to arrive after a response that bears no id, in milliseconds. */
+    private static final long UNIDENTIFIED_GRACE_MILLIS = 1_000;
+
     /** Requests back to which a late response is told from that to a request with the same attempt id. */
     private static final int REMEMBERED_ATTEMPTS = 16;
 
@@ -44,6 +53,8 @@
     private boolean echoed;
     private int requests;
     private boolean skippingResponse;
+    private int skippedResponses;
+    private Future<?> unidentifiedTimer;
     private boolean written;
     private boolean reusable;
     private boolean framed;
@@ -100,6 +111,7 @@
         rememberAttempt();
         written = false;
         skippingResponse = false;
+        skippedResponses = 0;
         reusable = true;
         channel.writeAndFlush(message(request)).addListener(done -> {
             written = done.isSuccess();
@@ -138,6 +150,10 @@
 
     private void detach() {
         listener = null;
+        if (unidentifiedTimer != null) {
+            unidentifiedTimer.cancel(false);
+            unidentifiedTimer = null;
+        }
         pool.memory().release(this);
     }
 
@@ -207,18 +223,9 @@
     private void readHead(HttpResponse head) {
         pool.responded(this, head);
         ResponseOrigin origin = ResponseOrigin.of(attemptId, idOf(head), echoed, requests > 1);
-        skippingResponse =
-                origin == ResponseOrigin.OTHER_REQUEST || head.status().code() < FIRST_FINAL_STATUS;
-        if (skippingResponse) {
-            if (origin == ResponseOrigin.OTHER_REQUEST) {
-                report(head, origin, "skipped");
-            }
-            return;
-        }
-        if (origin == ResponseOrigin.UNKNOWN) {
-            report(head, origin, "failed");
-            fail("response without an attempt id on a connection that carried another request: status "
-                    + head.status().code());
+        boolean interim = head.status().code() < FIRST_FINAL_STATUS;
+        if (origin != ResponseOrigin.PENDING_REQUEST || interim) {
+            skip(head, origin, interim);
             return;
         }
         framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
@@ -227,6 +234,35 @@
         listener.onHead(head.status().code(), head.headers());
     }
 
+    private void skip(HttpResponse head, ResponseOrigin origin, boolean interim) {
+        skippingResponse = true;
+        skippedResponses++;
+        if (!interim) {
+            report(head, origin, "skipped");
+        }
+        if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail("more than " + MAX_SKIPPED_RESPONSES + " responses that are not the answer");
+        } else if (origin == ResponseOrigin.UNKNOWN && !interim) {
+            skipUnidentified(head.status().code());
+        }
+    }
+
+    /**
+     * Gives the answer a while to follow a response that bears no id. The endpoint may have left the id out of the
+     * answer itself, after which nothing comes. The connection carries no other request, as it may be out of step.
+     */
+    private void skipUnidentified(int status) {
+        reusable = false;
+        if (unidentifiedTimer == null) {
+            unidentifiedTimer = channel.eventLoop()
+                    .schedule(
+                            () -> fail("no answer after a response without an attempt id on a connection that carried"
+                                    + " another request: status " + status),
+                            UNIDENTIFIED_GRACE_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
     private static String idOf(HttpResponse head) {
         return head.headers().get(Headers.ATTEMPT, "");
     }
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BinaryOperator;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.ragwortpitch.adapter.Headers;
@@ -85,9 +86,40 @@
         }
     }
 
+    /** Guards against an extra response that is taken for the answer, or that costs the request its answer. */
+    @ParameterizedTest
+    @EnumSource
+    void testExtraResponseBeforeTheAnswerIsSkipped(Extra extra) throws Exception {
+        try (StutteringPeer peer = new StutteringPeer(extra::write)) {
+            assertEquals(expected("a", 1), get(peer.address(), "a"));
+            assertEquals(expected("b", 2), get(peer.address(), "b"));
+            assertEquals(1, peer.connections());
+        }
+    }
+
+    /** Guards against a request that waits on after a response without an id that nothing follows. */
+    @Test
+    void testResponseWithoutIdThatNothingFollowsFailsTheRequest() throws Exception {
+        try (StutteringPeer peer = new StutteringPeer(
+                (previous, present) -> previous.isEmpty() ? present : StutteringPeer.withoutId(previous))) {
+            assertEquals(expected("a", 1), get(peer.address(), "a"));
+            assertEquals("failed", get(peer.address(), "b"));
+        }
+    }
+
+    /** Guards against extra responses without end, which would hold a request until its deadline. */
+    @Test
+    void testExtraResponsesWithoutEndFailTheRequest() throws Exception {
+        try (StutteringPeer peer =
+                new StutteringPeer((previous, present) -> previous.isEmpty() ? present : previous.repeat(10_000))) {
+            assertEquals(expected("a", 1), get(peer.address(), "a"));
+            assertEquals("failed", get(peer.address(), "b"));
+        }
+    }
+
     /** Guards against a copy of the answer to one send of an attempt that passes for the answer to a later send. */
     @ParameterizedTest
-    @EnumSource(names = "COPY")
+    @EnumSource(names = {"COPY", "COPY_WITHOUT_ID"})
     void testAttemptThatIsSentAgainGetsNoCopyOfItsEarlierAnswer(Extra extra) throws Exception {
         try (StutteringPeer peer = new StutteringPeer(extra::write)) {
             assertEquals(expected("a", 1), get(peer.address(), "a"));
