Let a call of the daemon itself take no response that bears an attempt id

Requests failed, and on callers got a status that was not theirs, when a daemon freed a KV cache over a connection on which an endpoint wrote an earlier answer once more: the call bears no id and took any response, so its own stayed on the connection for the next request. Change: a response with an id answers no request without one, and is skipped. Evidence: ExtraResponseTest.testCallTakesNoAnswerOfARequest ('expected: <answer 2 to > but was: <answer 1 to a>') and two rows of ResponseOriginTest failed before; they pass.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundRequest.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundRequest.java
@@ -10,7 +10,7 @@
  * @param target    path and query
  * @param headers   all headers except connection-specific ones and Content-Length
  * @param body      the body; the sender neither advances nor releases it
- * @param attemptId the attempt id that a response must carry if it carries any; empty to accept every id
+ * @param attemptId the attempt id that a response must carry if it carries any; empty if the request has none
  * @param echoed    whether the receiver repeats the attempt id in every response, so that one without it, on a
  *                  connection that has carried another request, may belong to that one
  */
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -130,6 +130,16 @@
         }
     }
 
+    /** Guards against a daemon's own call that takes the copy of a request's answer and leaves its own for the next. */
+    @Test
+    void testCallTakesNoAnswerOfARequest() throws Exception {
+        try (StutteringPeer peer = new StutteringPeer(Extra.COPY::write)) {
+            assertEquals(expected("a", 1), get(peer.address(), "a"));
+            assertEquals(StutteringPeer.body("", 2), call(peer.address()));
+            assertEquals(expected("b", 3), get(peer.address(), "b"));
+        }
+    }
+
     private String call(String address) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
         BufferingHttpCaller caller = new BufferingHttpCaller(loops.loop(), pool);
--- a/policy/src/main/java/org/ragwortpitch/response/ResponseOrigin.java
+++ b/policy/src/main/java/org/ragwortpitch/response/ResponseOrigin.java
@@ -26,6 +26,6 @@
         if (receivedId.isEmpty()) {
             return echoed && reused ? UNKNOWN : PENDING_REQUEST;
         }
-        return expectedId.isEmpty() || receivedId.equals(expectedId) ? PENDING_REQUEST : OTHER_REQUEST;
+        return receivedId.equals(expectedId) ? PENDING_REQUEST : OTHER_REQUEST;
     }
 }
--- a/policy/src/test/java/org/ragwortpitch/response/ResponseOriginTest.java
+++ b/policy/src/test/java/org/ragwortpitch/response/ResponseOriginTest.java
@@ -20,7 +20,9 @@
         "a, '', true, true, UNKNOWN",
         "a, '', true, false, PENDING_REQUEST",
         "a, '', false, true, PENDING_REQUEST",
-        "'', '', false, true, PENDING_REQUEST"
+        "'', '', false, true, PENDING_REQUEST",
+        "'', b, false, true, OTHER_REQUEST",
+        "'', b, false, false, OTHER_REQUEST"
     })
     void testOriginFollowsTheAttemptId(
             String expected, String received, boolean echoed, boolean reused, ResponseOrigin origin) {
