Take what an endpoint says of itself from answers alone

An earlier refusal, written once more, made a daemon leave the endpoint alone for the stated time once more: the observer heard each response before its id was looked at. (That a response of an earlier process at an address marks the present one as leaving is possible by the code as well, and was not shown.) Change: the observer hears a response once it is the answer to the pending request.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionObserver.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionObserver.java
@@ -31,7 +31,7 @@
     void onConnectFailed(String address);
 
     /**
-     * Called with the head of each response from an address, whatever request it answers.
+     * Called with the head of each response from an address that answers a request or call of this daemon.
      */
     void onResponse(String address, int status, HttpHeaders headers);
 
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -221,13 +221,13 @@
     }
 
     private void readHead(HttpResponse head) {
-        pool.responded(this, head);
         ResponseOrigin origin = ResponseOrigin.of(attemptId, idOf(head), echoed, requests > 1);
         boolean interim = head.status().code() < FIRST_FINAL_STATUS;
         if (origin != ResponseOrigin.PENDING_REQUEST || interim) {
             skip(head, origin, interim);
             return;
         }
+        pool.responded(this, head);
         framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         reusable &= framed && HttpUtil.isKeepAlive(head);
         idleLimitMillis = KeepAlive.limitMillis(head.headers().get(KeepAlive.HEADER));
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -154,6 +154,18 @@
         return outcome.get(5, TimeUnit.SECONDS);
     }
 
+    /** Guards against an earlier refusal, written once more, that makes an endpoint rest once more. */
+    @Test
+    void testExtraResponseTellsNothingOfTheEndpoint() throws Exception {
+        String identified = REFUSAL.replace("Retry", Headers.ATTEMPT + ": other\r\nRetry");
+        try (StutteringPeer peer = new StutteringPeer(
+                (previous, present) -> previous.isEmpty() ? present : identified + REFUSAL + present)) {
+            assertEquals(expected("a", 1), get(peer.address(), "a"));
+            assertEquals(expected("b", 2), get(peer.address(), "b"));
+            assertEquals(List.of(200, 200), heard);
+        }
+    }
+
     /**
      * Records the status of each response that is heard.
      */
