Reuse no connection on which bytes follow a response

A request failed although its endpoint answered it, when the endpoint had sent bytes beyond an earlier response that were no whole head: they stayed in the decoder, or arrived while the connection was idle, and were read as the start of the answer. Change: a connection with bytes left over after a response isn't reused, and one on which bytes arrive while no request is pending is closed, a whole head or not. Evidence: four rows of ExtraResponseTest.testBytesAfterAResponseReachNoLaterRequest failed before; with ConnectionPoolTest they pass.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -225,7 +224,8 @@
 
     private OutboundSend connectAndSend(String address, OutboundRequest request, ResponseListener listener) {
         opened++;
-        OutboundConnection connection = new OutboundConnection(this, address, opened);
+        ResponseDecoder decoder = new ResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        OutboundConnection connection = new OutboundConnection(this, address, decoder, opened);
         PendingSend pending = new PendingSend();
         request.body().retain();
         ChannelFuture connecting = bootstrap
@@ -234,7 +234,8 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(new HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection.excessGuard())
+                                .addLast(decoder)
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
                     }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -44,6 +45,7 @@
 
     private final ConnectionPool pool;
     private final String address;
+    private final ResponseDecoder decoder;
     private final Deque<String> carriedIds = new ArrayDeque<>();
     private Channel channel;
     private ResponseListener listener;
@@ -65,11 +67,13 @@
     /**
      * Creates a connection that is yet to be opened.
      *
-     * @param number in the order of the pool's connections, for the log
+     * @param decoder before this handler in the connection's pipeline
+     * @param number  in the order of the pool's connections, for the log
      */
-    OutboundConnection(ConnectionPool pool, String address, long number) {
+    OutboundConnection(ConnectionPool pool, String address, ResponseDecoder decoder, long number) {
         this.pool = pool;
         this.address = address;
+        this.decoder = decoder;
         this.number = number;
     }
 
@@ -98,6 +102,23 @@
         return carriedIds.contains(id);
     }
 
+    /**
+     * Returns a handler that closes the connection if bytes arrive while no request is pending, even if they are no
+     * whole head yet. Placed before the decoder, which still names a whole head in the log.
+     */
+    ChannelInboundHandler excessGuard() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                boolean excess = listener == null;
+                context.fireChannelRead(message);
+                if (excess) {
+                    channel.close();
+                }
+            }
+        };
+    }
+
     void opened(Channel open) {
         channel = open;
     }
@@ -306,9 +327,9 @@
         }
         ResponseListener done = listener;
         detach();
-        // A response that arrives before the request is fully written leaves part of it in flight, so the connection
-        // can't carry another request yet.
-        if (reusable && written && channel.isActive()) {
+        // A response that arrives before the request is fully written leaves part of it in flight, and bytes beyond a
+        // response would be read as the next one, so the connection can't carry another request.
+        if (reusable && written && channel.isActive() && !decoder.hasExcessBytes()) {
             idleSinceMillis = pool.nowMillis();
             pool.release(this);
         } else {
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.adapter.HttpCall;
 import org.ragwortpitch.edge.standin.StutteringPeer;
@@ -154,6 +155,26 @@
         return outcome.get(5, TimeUnit.SECONDS);
     }
 
+    /** Guards against bytes after a response that spoil the answer to the next request on the connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTT", "HTTP/1.1 200 OK\r\nContent-Le", "junk", StutteringPeer.LATER + "junk"})
+    void testBytesAfterAResponseReachNoLaterRequest(String bytes) throws Exception {
+        try (StutteringPeer peer = new StutteringPeer((previous, present) -> present + bytes)) {
+            CompletableFuture<String> second = new CompletableFuture<>();
+            CompletableFuture<String> first = send("GET", peer.address(), "a");
+            if (!bytes.startsWith(StutteringPeer.LATER)) {
+                first.thenRun(() -> sendNow("GET", peer.address(), "b", second));
+            }
+            assertEquals(expected("a", 1), first.get(5, TimeUnit.SECONDS));
+            if (bytes.startsWith(StutteringPeer.LATER)) {
+                Thread.sleep(400);
+                loops.loop().execute(() -> sendNow("GET", peer.address(), "b", second));
+            }
+            assertEquals(expected("b", 2), second.get(5, TimeUnit.SECONDS));
+            assertEquals(2, peer.connections());
+        }
+    }
+
     /** Guards against an earlier refusal, written once more, that makes an endpoint rest once more. */
     @Test
     void testExtraResponseTellsNothingOfTheEndpoint() throws Exception {
