Expect no body after the head of a response to HEAD

A caller's HEAD got 504: the stated length of its answer was taken for a body to come. Change: the decoder of a connection knows the method of the pending request. Evidence: ExtraResponseTest.testResponseToARequestForTheHeadHasNoBody failed before (timeout); passes.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -130,6 +130,7 @@
         echoed = request.echoed();
         requests++;
         rememberAttempt();
+        decoder.expectResponseTo(request.method());
         written = false;
         skippingResponse = false;
         skippedResponses = 0;
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ResponseDecoder.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.ragwortpitch.edge.http;
 
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
@@ -7,6 +9,8 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+    private boolean headOnly;
+
     ResponseDecoder(int maxLineBytes, int maxHeaderBytes, int maxChunkBytes) {
         super(maxLineBytes, maxHeaderBytes, maxChunkBytes);
     }
@@ -17,4 +21,16 @@
     boolean hasExcessBytes() {
         return actualReadableBytes() > 0;
     }
+
+    /**
+     * Sets the method of the pending request, on which it depends whether a response has a body.
+     */
+    void expectResponseTo(String method) {
+        headOnly = HttpMethod.HEAD.name().equals(method);
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return headOnly || super.isContentAlwaysEmpty(message);
+    }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.edge.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -187,6 +188,16 @@
         }
     }
 
+    /** Guards against the response to a request for a head alone, whose stated length is taken for a body to come. */
+    @Test
+    void testResponseToARequestForTheHeadHasNoBody() throws Exception {
+        try (StutteringPeer peer = new StutteringPeer((previous, present) -> present)) {
+            assertEquals("200 ", send("HEAD", peer.address(), "a").get(5, TimeUnit.SECONDS));
+            assertEquals(expected("b", 2), get(peer.address(), "b"));
+            assertTrue(peer.requests().get(0).startsWith("HEAD "));
+        }
+    }
+
     /**
      * Records the status of each response that is heard.
      */
