Send no body in response to HEAD

A caller that asked for a head alone on a kept connection read the body of the daemon's answer as the start of its next response, which belongs to no request: refusals, failures and streams had one. Cause: the encoder of responses to callers didn't know the method of the request. Evidence: three rows of FrontServerTest.testResponseToARequestForTheHeadHasNoBody failed before; the class passes.

--- a/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
@@ -51,6 +51,7 @@
     private final FrontServer server;
     private final RequestHandler handler;
     private final Supplier<CallerLimits> limits;
+    private final CallerResponseEncoder encoder;
     private final LongSupplier clockMillis;
     private final Deque<Object> pipelined = new ArrayDeque<>();
     private Channel channel;
@@ -66,10 +67,15 @@
     private boolean closing;
 
     CallerConnection(
-            FrontServer server, RequestHandler handler, Supplier<CallerLimits> limits, LongSupplier clockMillis) {
+            FrontServer server,
+            RequestHandler handler,
+            Supplier<CallerLimits> limits,
+            CallerResponseEncoder encoder,
+            LongSupplier clockMillis) {
         this.server = server;
         this.handler = handler;
         this.limits = limits;
+        this.encoder = encoder;
         this.clockMillis = clockMillis;
     }
 
@@ -126,6 +132,7 @@
 
     private void readHead(HttpRequest request) {
         headStartedMillis = 0;
+        encoder.expectResponseTo(request.method());
         Throwable failure = request.decoderResult().cause();
         if (failure instanceof TooLongHttpHeaderException || failure instanceof TooLongHttpLineException) {
             refuse(
--- a/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -63,12 +62,13 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         CallerLimits now = limits.get();
+                        CallerResponseEncoder encoder = new CallerResponseEncoder();
                         CallerConnection connection =
-                                new CallerConnection(FrontServer.this, handler, limits, clockMillis);
+                                new CallerConnection(FrontServer.this, handler, limits, encoder, clockMillis);
                         channel.pipeline()
                                 .addLast(connection.readTimer())
                                 .addLast(new StrictRequestDecoder(now.maxHeaderBytes(), MAX_CHUNK_BYTES))
-                                .addLast(new HttpResponseEncoder())
+                                .addLast(encoder)
                                 .addLast(connection);
                     }
                 })
--- a/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
@@ -152,6 +152,15 @@
         assertEquals(List.of("GET /a ", "POST /b xyz", "GET /c "), handled);
     }
 
+    /** Guards against a body after the head that was asked for, which callers read as their next response. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/a", "/stream", "/throws"})
+    void testResponseToARequestForTheHeadHasNoBody(String path) throws IOException {
+        String response = exchange("HEAD " + path + " HTTP/1.1~Host: a~~GET /b HTTP/1.1~Host: a~~");
+        String next = response.substring(response.indexOf("\r\n\r\n") + 4);
+        assertTrue(next.startsWith("HTTP/1.1 200 OK"), response);
+    }
+
     @Test
     void testStreamEndsWithItsLastChunk() throws IOException {
         assertTrue(exchange("GET /stream HTTP/1.1~~").contains("3\r\none\r\n0\r\n\r\n"));
