Open a connection for each report and order of an engine

An order could be taken for accepted that its engine had refused, or for refused that it carried out: reports and orders bear no attempt id, so a copy of an earlier answer on a kept connection passed for the answer. Change: the duty that assigns roles calls engines on new connections; such calls are rare, as a role change takes seconds. Evidence: ExtraResponseTest.testCallOnANewConnectionGetsNoCopyOfAnEarlierAnswer with a caller that reuses connections: 'expected: <answer 2 to > but was: <answer 1 to >'; passes. The effect on an order was not played.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/EngineRoleAssigner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EngineRoleAssigner.java
@@ -50,7 +50,7 @@
     private final Map<EndpointId, Long> blockedUntilMillis = new HashMap<>();
 
     EngineRoleAssigner(BufferingHttpCaller caller, InstanceId self, LongSupplier clockMillis) {
-        this.caller = caller;
+        this.caller = caller.onNewConnections();
         this.self = self;
         this.clockMillis = clockMillis;
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/http/BufferingHttpCaller.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/BufferingHttpCaller.java
@@ -22,14 +22,28 @@
 
     private final EventLoop loop;
     private final ConnectionPool pool;
+    private final long maxIdleMillis;
     private final FaultBarrier barrier = new FaultBarrier("handle response");
 
     /**
      * Creates a caller that uses a pool's connections.
      */
     public BufferingHttpCaller(EventLoop loop, ConnectionPool pool) {
+        this(loop, pool, Long.MAX_VALUE);
+    }
+
+    private BufferingHttpCaller(EventLoop loop, ConnectionPool pool, long maxIdleMillis) {
         this.loop = loop;
         this.pool = pool;
+        this.maxIdleMillis = maxIdleMillis;
+    }
+
+    /**
+     * Returns a caller that opens a connection for each call. Calls bear no attempt id, so an earlier response that a
+     * peer writes once more can't be told from the one that is due.
+     */
+    public BufferingHttpCaller onNewConnections() {
+        return new BufferingHttpCaller(loop, pool, 0);
     }
 
     /**
@@ -55,7 +69,7 @@
         OutboundRequest request = new OutboundRequest(call.method(), call.target(), headers, body, "");
         ResponseCollector collector = new ResponseCollector(
                 response -> barrier.run(address + call.target(), () -> onResponse.accept(response)), onFailure);
-        collector.send = pool.send(address, request, Long.MAX_VALUE, collector);
+        collector.send = pool.send(address, request, maxIdleMillis, collector);
         collector.timer = loop.schedule(
                 () -> {
                     collector.send.cancel();
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -137,14 +137,25 @@
     void testCallTakesNoAnswerOfARequest() throws Exception {
         try (StutteringPeer peer = new StutteringPeer(Extra.COPY::write)) {
             assertEquals(expected("a", 1), get(peer.address(), "a"));
-            assertEquals(StutteringPeer.body("", 2), call(peer.address()));
+            BufferingHttpCaller caller = new BufferingHttpCaller(loops.loop(), pool);
+            assertEquals(StutteringPeer.body("", 2), call(caller, peer.address()));
             assertEquals(expected("b", 3), get(peer.address(), "b"));
         }
     }
 
-    private String call(String address) throws Exception {
+    /** Guards against an order to an engine that gets a copy of the answer to an earlier call. */
+    @Test
+    void testCallOnANewConnectionGetsNoCopyOfAnEarlierAnswer() throws Exception {
+        try (StutteringPeer peer = new StutteringPeer(Extra.COPY::write)) {
+            BufferingHttpCaller caller = new BufferingHttpCaller(loops.loop(), pool).onNewConnections();
+            for (int number = 1; number <= 3; number++) {
+                assertEquals(StutteringPeer.body("", number), call(caller, peer.address()));
+            }
+        }
+    }
+
+    private String call(BufferingHttpCaller caller, String address) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
-        BufferingHttpCaller caller = new BufferingHttpCaller(loops.loop(), pool);
         HttpCall call = new HttpCall("DELETE", "/x", Map.of(), new byte[0]);
         loops.loop()
                 .execute(() -> caller.call(
