Guard against the answer of another caller that is written once more, and fail a spoiled answer at once

Tests: EndpointFaultsTest.testAnswerWrittenOnceMoreReachesNoOtherCaller over a daemon; ExtraResponseTest.testAnswerWithoutIdAndSealFails- TheRequestAtOnce, which failed before. Two extra responses of the latter class now bear a seal, as copies of answers do; the listing of a scripted service moved to a method.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -34,6 +34,8 @@
 
     private static final int FIRST_FINAL_STATUS = 200;
 
+    private static final int MIN_NON_SUCCESS_STATUS = 300;
+
     /** Extra responses that are skipped while a request is pending; a peer that sends more has lost track. */
     private static final int MAX_SKIPPED_RESPONSES = 16;
 
@@ -257,18 +259,30 @@
     }
 
     private void skip(HttpResponse head, ResponseOrigin origin, boolean interim) {
+        boolean unidentified = origin == ResponseOrigin.UNKNOWN && !interim;
+        boolean spoiled = unidentified && isUnsealedSuccess(head);
         skippingResponse = true;
         skippedResponses++;
         if (!interim) {
-            report(head, origin, "skipped");
+            report(head, origin, spoiled ? "failed" : "skipped");
         }
-        if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+        if (spoiled) {
+            fail("success without an attempt id and a seal on a connection that carried another request");
+        } else if (skippedResponses > MAX_SKIPPED_RESPONSES) {
             fail("more than " + MAX_SKIPPED_RESPONSES + " responses that are not the answer");
-        } else if (origin == ResponseOrigin.UNKNOWN && !interim) {
+        } else if (unidentified) {
             skipUnidentified(head.status().code());
         }
     }
 
+    /**
+     * Returns whether a response can't be the copy of an endpoint's answer, which is sealed. It is the answer itself,
+     * spoiled, and no other follows.
+     */
+    private static boolean isUnsealedSuccess(HttpResponse head) {
+        return head.status().code() < MIN_NON_SUCCESS_STATUS && !head.headers().contains(Headers.SEAL);
+    }
+
     /**
      * Gives the answer a while to follow a response that bears no id. The endpoint may have left the id out of the
      * answer itself, after which nothing comes. The connection carries no other request, as it may be out of step.
--- a/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpResponse;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -26,6 +27,7 @@
 import org.ragwortpitch.edge.standin.ScriptedPeer;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
+import org.ragwortpitch.edge.standin.StutteringPeer;
 import org.ragwortpitch.edge.standin.TestDaemons;
 
 /**
@@ -193,16 +195,41 @@
                 closer.add(new ScriptedPeer(identified, refusal.formatted(""))),
                 closer.add(new ScriptedPeer(identified, refusal.formatted(""))));
         services.forEach(service -> service.list(store, "other", "", "ready"));
-        for (ScriptedPeer peer : peers) {
-            String entry =
-                    "{\"Service\":\"app\",\"Address\":\"" + peer.address() + "\",\"Version\":\"v1\",\"Zone\":\"a\","
-                            + "\"Slots\":6,\"State\":\"ready\",\"Sequence\":1,\"born\":1}";
-            store.put("keyed.servers", "servers/s-" + peers.indexOf(peer), entry);
-        }
+        peers.forEach(peer -> listService("s-" + peers.indexOf(peer), peer.address()));
         Edge edge = daemons.start("front-1");
         assertEquals(503, call(edge, route).statusCode(), "both have refused it, as they state");
         Thread.sleep(REFUSAL_PAUSE_MILLIS);
         assertEquals(502, call(edge, route).statusCode(), "one may have executed it");
         assertEquals(3, peers.stream().mapToInt(peer -> peer.requests().size()).sum());
     }
+
+    private void listService(String id, String address) {
+        store.put(
+                "keyed.servers",
+                "servers/" + id,
+                "{\"Service\":\"app\",\"Address\":\"" + address + "\",\"Version\":\"v1\",\"Zone\":\"a\","
+                        + "\"Slots\":6,\"State\":\"ready\",\"Sequence\":1,\"born\":1}");
+    }
+
+    /**
+     * Guards against the answer of another caller, written once more without its attempt id while the next request on
+     * the connection is under way.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"book", "check"})
+    void testAnswerWrittenOnceMoreReachesNoOtherCaller(String route) throws Exception {
+        services.forEach(service -> service.list(store, "other", "", "ready"));
+        StutteringPeer peer = closer.add(new StutteringPeer(
+                (previous, present) -> present + StutteringPeer.LATER + StutteringPeer.withoutId(present)));
+        listService("s-1", peer.address());
+        Edge edge = daemons.start("front-1");
+        for (int number = 1; number <= CALLS; number++) {
+            HttpResponse<String> response = call(edge, route);
+            String sent = peer.requests().get(number - 1).toLowerCase(Locale.ROOT);
+            assertEquals(200, response.statusCode());
+            assertTrue(sent.contains(response.body().replaceAll(".* ", "")), response.body());
+            assertTrue(response.body().startsWith("answer " + number + " "), response.body());
+        }
+        assertTrue(peer.connections() < CALLS, "requests share connections");
+    }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -72,10 +72,10 @@
         COPY_WITHOUT_ID_AND_ANSWER_LATER(
                 (previous, present) -> StutteringPeer.withoutId(previous) + StutteringPeer.LATER + present),
         REFUSAL_WITHOUT_ID((previous, present) -> REFUSAL + present),
-        COPY_IN_CHUNKS((previous, present) ->
-                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n" + present),
+        COPY_IN_CHUNKS((previous, present) -> "HTTP/1.1 200 OK\r\n" + Headers.SEAL
+                + ": old\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n" + present),
         INTERIM((previous, present) -> "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + present),
-        NO_CONTENT((previous, present) -> "HTTP/1.1 204 No Content\r\n\r\n" + present);
+        NO_CONTENT((previous, present) -> "HTTP/1.1 204 No Content\r\n" + Headers.SEAL + ": old\r\n\r\n" + present);
 
         private final BinaryOperator<String> stutter;
 
@@ -109,6 +109,16 @@
         }
     }
 
+    /** Guards against a spoiled answer that holds its request for the time that a copy's answer may take to follow. */
+    @Test
+    void testAnswerWithoutIdAndSealFailsTheRequestAtOnce() throws Exception {
+        String spoiled = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        try (StutteringPeer peer = new StutteringPeer((previous, present) -> previous.isEmpty() ? present : spoiled)) {
+            assertEquals(expected("a", 1), get(peer.address(), "a"));
+            assertEquals("failed", send("GET", peer.address(), "b").get(500, TimeUnit.MILLISECONDS));
+        }
+    }
+
     /** Guards against extra responses without end, which would hold a request until its deadline. */
     @Test
     void testExtraResponsesWithoutEndFailTheRequest() throws Exception {
