Fail a request whose response is the start of one head and the whole of another

A caller could get a success for an endpoint's failure: when an endpoint stops within the head of a copy of an earlier answer and then writes the answer, the decoder takes the status line of the answer for the rest of a line of the copy, so that the status is the copy's and the id, the seal and the body are the answer's. The other way round, the start of an answer went on with an earlier one, and the caller got that one's body. Change: a response with a status line within its reason phrase or a header value fails the request and closes the connection. OutboundConnection.readHead calls the new JoinedHeads. Evidence: three of the four rows of JoinedResponsesTest failed before, 25 cuts in the first direction and 14 in the other: 'after 13 bytes: Outcome[complete=true, status=200, seal=seal-present, body=present]' for an answer with status 500, and 'after 85 bytes: Outcome[complete=true, status=500, seal=HTTP/1.1 200 OK, body=earlier]'. They pass, as do CutResponseTest (40), ConnectionPoolTest (23), ExtraResponseTest (20).

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -245,6 +245,10 @@
     }
 
     private void readHead(HttpResponse head) {
+        if (JoinedHeads.isJoined(head)) {
+            fail("status line of another response within the head of a response");
+            return;
+        }
         ResponseOrigin origin = ResponseOrigin.of(attemptId, idOf(head), echoed, requests > 1);
         boolean interim = head.status().code() < FIRST_FINAL_STATUS;
         if (origin != ResponseOrigin.PENDING_REQUEST || interim) {
