Limit how long a skipped response and the answer after it may take, not the answer itself

Found in review. A request whose answer took longer than 1 s after a response without an id failed, even if the answer had begun; one whose extra response was shorter than it stated, and took the answer for its body, waited until its deadline. Change: ResponseSkipper holds the state: a skipped response has to end within 1 s, the answer to begin within 3 s after a sealed response without an id, which is a copy, and 1 s after an unsealed one, which may be the answer itself. An answer that has begun has no such limit.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -17,17 +17,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.response.ResponseOrigin;
 
 /**
  * One connection, which carries one request at a time. A response with another attempt's id belongs to an earlier
  * request and is skipped; so is one without an id on a connection that carried another request, after which the answer
- * has to follow within a second. Data that arrives while no request is pending closes the connection. Confined to the
+ * has to follow soon. Data that arrives while no request is pending closes the connection. Confined to the
  * pool's thread.
  */
 final class OutboundConnection extends ChannelInboundHandlerAdapter {
@@ -36,12 +34,6 @@
 
     private static final int MIN_NON_SUCCESS_STATUS = 300;
 
-    /** Extra responses that are skipped while a request is pending; a peer that sends more has lost track. */
-    private static final int MAX_SKIPPED_RESPONSES = 16;
-
-    /** Time for the answer to arrive after a response that bears no id, in milliseconds. */
-    private static final long UNIDENTIFIED_GRACE_MILLIS = 1_000;
-
     /** Requests back to which a late response is told from that to a request with the same attempt id. */
     private static final int REMEMBERED_ATTEMPTS = 16;
 
@@ -49,6 +41,7 @@
     private final String address;
     private final ResponseDecoder decoder;
     private final Deque<String> carriedIds = new ArrayDeque<>();
+    private final ResponseSkipper skipper = new ResponseSkipper(this::fail);
     private Channel channel;
     private ResponseListener listener;
     private final long number;
@@ -56,9 +49,6 @@
     private String previousId = "";
     private boolean echoed;
     private int requests;
-    private boolean skippingResponse;
-    private int skippedResponses;
-    private Future<?> unidentifiedTimer;
     private boolean written;
     private boolean reusable;
     private boolean framed;
@@ -134,8 +124,7 @@
         rememberAttempt();
         decoder.expectResponseTo(request.method());
         written = false;
-        skippingResponse = false;
-        skippedResponses = 0;
+        skipper.reset();
         reusable = true;
         channel.writeAndFlush(message(request)).addListener(done -> {
             written = done.isSuccess();
@@ -174,10 +163,7 @@
 
     private void detach() {
         listener = null;
-        if (unidentifiedTimer != null) {
-            unidentifiedTimer.cancel(false);
-            unidentifiedTimer = null;
-        }
+        skipper.stop();
         pool.memory().release(this);
     }
 
@@ -255,6 +241,7 @@
             skip(head, origin, interim);
             return;
         }
+        skipper.stop();
         pool.responded(this, head);
         framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         reusable &= framed && HttpUtil.isKeepAlive(head);
@@ -262,20 +249,22 @@
         listener.onHead(head.status().code(), head.headers());
     }
 
+    /**
+     * Skips a response that is not the answer. After one that bears no id, the connection carries no other request, as
+     * it may be out of step.
+     */
     private void skip(HttpResponse head, ResponseOrigin origin, boolean interim) {
-        boolean unidentified = origin == ResponseOrigin.UNKNOWN && !interim;
-        boolean spoiled = unidentified && isUnsealedSuccess(head);
-        skippingResponse = true;
-        skippedResponses++;
-        if (!interim) {
-            report(head, origin, spoiled ? "failed" : "skipped");
+        if (interim) {
+            skipper.skip(head, ResponseOrigin.PENDING_REQUEST, channel.eventLoop());
+            return;
         }
-        if (spoiled) {
+        reusable &= origin != ResponseOrigin.UNKNOWN;
+        if (origin == ResponseOrigin.UNKNOWN && isUnsealedSuccess(head)) {
+            report(head, origin, "failed");
             fail("success without an attempt id and a seal on a connection that carried another request");
-        } else if (skippedResponses > MAX_SKIPPED_RESPONSES) {
-            fail("more than " + MAX_SKIPPED_RESPONSES + " responses that are not the answer");
-        } else if (unidentified) {
-            skipUnidentified(head.status().code());
+        } else {
+            report(head, origin, "skipped");
+            skipper.skip(head, origin, channel.eventLoop());
         }
     }
 
@@ -287,22 +276,6 @@
         return head.status().code() < MIN_NON_SUCCESS_STATUS && !head.headers().contains(Headers.SEAL);
     }
 
-    /**
-     * Gives the answer a while to follow a response that bears no id. The endpoint may have left the id out of the
-     * answer itself, after which nothing comes. The connection carries no other request, as it may be out of step.
-     */
-    private void skipUnidentified(int status) {
-        reusable = false;
-        if (unidentifiedTimer == null) {
-            unidentifiedTimer = channel.eventLoop()
-                    .schedule(
-                            () -> fail("no answer after a response without an attempt id on a connection that carried"
-                                    + " another request: status " + status),
-                            UNIDENTIFIED_GRACE_MILLIS,
-                            TimeUnit.MILLISECONDS);
-        }
-    }
-
     private static String idOf(HttpResponse head) {
         return head.headers().get(Headers.ATTEMPT, "");
     }
@@ -324,8 +297,10 @@
 
     private void readContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (skippingResponse) {
-            skippingResponse = !last;
+        if (skipper.isSkipping()) {
+            if (last) {
+                skipper.end(channel.eventLoop());
+            }
             return;
         }
         if (content.content().isReadable()) {
