Give HEAD a connection of its own

Found in review: an extra response to another method was read with the framing of the pending one, which cost a request its answer where HEAD and other methods share a connection. Evidence: two rows of PartialExtraResponseTest.testExtraResponseToAnotherMethodCostsNoAnswer failed before; they pass.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import java.lang.System.Logger;
@@ -94,14 +95,17 @@
     }
 
     /**
-     * Sends a request over an idle connection, or over a new one if none is fresh enough.
+     * Sends a request over an idle connection, or over a new one if none is fresh enough. HEAD gets a connection of its
+     * own, since an extra response to another method can't be delimited there.
      *
      * @param address       host and port
      * @param maxIdleMillis how long a reused connection may have been idle, in milliseconds
      * @return cancels the request and closes its connection
      */
     public OutboundSend send(String address, OutboundRequest request, long maxIdleMillis, ResponseListener listener) {
-        OutboundConnection connection = takeIdle(address, maxIdleMillis, request.attemptId());
+        OutboundConnection connection = HttpMethod.HEAD.name().equals(request.method())
+                ? null
+                : takeIdle(address, maxIdleMillis, request.attemptId());
         return connection != null ? connection.send(request, listener) : connectAndSend(address, request, listener);
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -125,7 +125,7 @@
         decoder.expectResponseTo(request.method());
         written = false;
         skipper.reset();
-        reusable = true;
+        reusable = !HttpMethod.HEAD.name().equals(request.method());
         channel.writeAndFlush(message(request)).addListener(done -> {
             written = done.isSuccess();
             if (!done.isSuccess() && listener == responses) {
--- a/edge/src/test/java/org/ragwortpitch/edge/http/PartialExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/PartialExtraResponseTest.java
@@ -115,6 +115,20 @@
         }
     }
 
+    /** Guards against the framing of a response to HEAD that is applied to the response to another method. */
+    @ParameterizedTest
+    @ValueSource(strings = {"GET HEAD", "HEAD GET"})
+    void testExtraResponseToAnotherMethodCostsNoAnswer(String methods) throws Exception {
+        String[] method = methods.split(" ");
+        try (StutteringPeer peer = new StutteringPeer((previous, present) -> previous + present)) {
+            outcome(method[0], peer.address(), "a");
+            String second = send(method[1], peer.address(), "b")
+                    .completeOnTimeout("waiting", 3, TimeUnit.SECONDS)
+                    .get();
+            assertEquals("HEAD".equals(method[1]) ? "200 " : "200 answer 2 to b", second);
+        }
+    }
+
     /** Guards against a line in the log for each of the responses that follow the end of a connection. */
     @Test
     void testResponsesAfterTheEndOfAConnectionAreReportedOnce() throws Exception {
