Fail a response whose body goes on with the head of another response

A caller got a success with the right length and a wrong end: when an endpoint stops within the body of an answer and writes another response on the connection, the first bytes of that response complete the body by its stated length ('200 answer 2 to H', '200 answHTTP/1.1 '). Cause: a body was delimited by its length alone. Change: JoinedBodyDetector searches bodies of endpoints, and the bytes that follow them, for a status line with the headers of an endpoint. Nothing of it is passed on: an event or a plain body that contains one was not complete yet.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -41,6 +41,7 @@
     private final String address;
     private final ResponseDecoder decoder;
     private final Deque<String> carriedIds = new ArrayDeque<>();
+    private final JoinedBodyDetector joinedBodies = new JoinedBodyDetector();
     private final ResponseSkipper skipper = new ResponseSkipper(this::fail);
     private Channel channel;
     private ResponseListener listener;
@@ -125,6 +126,7 @@
         decoder.expectResponseTo(request.method());
         written = false;
         skipper.reset();
+        joinedBodies.reset();
         reusable = !HttpMethod.HEAD.name().equals(request.method());
         channel.writeAndFlush(message(request)).addListener(done -> {
             written = done.isSuccess();
@@ -303,6 +305,10 @@
             }
             return;
         }
+        if (isJoined(content)) {
+            fail("head of another response within the body of a response");
+            return;
+        }
         if (content.content().isReadable()) {
             listener.onContent(content.content());
             if (listener != null) {
@@ -314,6 +320,12 @@
         }
     }
 
+    private boolean isJoined(HttpContent content) {
+        return echoed
+                && (joinedBodies.feed(content.content())
+                        || content instanceof LastHttpContent && joinedBodies.feedExcess(decoder.excessBytes()));
+    }
+
     private void end() {
         if (reset) {
             fail("connection reset during a response without a stated length");
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ResponseDecoder.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.ragwortpitch.edge.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -22,6 +23,13 @@
         return actualReadableBytes() > 0;
     }
 
+    /**
+     * Returns the bytes that follow the last message that was passed on; valid only during the present call.
+     */
+    ByteBuf excessBytes() {
+        return internalBuffer();
+    }
+
     /**
      * Sets the method of the pending request, on which it depends whether a response has a body.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/EndpointFaultsTest.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutionException;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -203,6 +204,38 @@
         assertEquals(3, peers.stream().mapToInt(peer -> peer.requests().size()).sum());
     }
 
+    /** Guards against a failure that reaches its caller as a success, after part of the head of an extra response. */
+    @ParameterizedTest
+    @ValueSource(strings = {"book", "check"})
+    void testFailureAfterPartOfAnExtraHeadIsNoSuccessToItsCaller(String route) throws Exception {
+        HttpResponse<String> second = secondAnswerAfter(
+                route, present -> "HTTP/1.1 200 OK\r\nServer: x" + present.replace("200 OK", "500 Internal"));
+        assertTrue(second.statusCode() >= 500, second.statusCode() + " " + second.headers());
+    }
+
+    /** Guards against a promise that an executed request was not, after part of the head of an earlier refusal. */
+    @Test
+    void testSuccessAfterPartOfAnExtraRefusalIsNotRefused() throws Exception {
+        HttpResponse<String> second =
+                secondAnswerAfter("book", present -> "HTTP/1.1 503 Busy\r\n" + Headers.NOT_EXECUTED + ": 1" + present);
+        assertFalse(PROMISES.contains(second.statusCode()), second.statusCode() + " " + second.body());
+    }
+
+    /**
+     * Returns the second answer over a connection to the only endpoint of the service.
+     *
+     * @param written what the endpoint writes in place of the second answer
+     */
+    private HttpResponse<String> secondAnswerAfter(String route, UnaryOperator<String> written) throws Exception {
+        StutteringPeer peer = closer.add(
+                new StutteringPeer((previous, present) -> previous.isEmpty() ? present : written.apply(present)));
+        services.forEach(service -> service.list(store, "other", "", "ready"));
+        listService("s-1", peer.address());
+        Edge edge = daemons.start("front-1");
+        assertEquals(200, call(edge, route).statusCode());
+        return call(edge, route);
+    }
+
     private void listService(String id, String address) {
         store.put(
                 "keyed.servers",
--- a/edge/src/test/java/org/ragwortpitch/edge/http/PartialExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/PartialExtraResponseTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.edge.standin.StutteringPeer;
@@ -61,6 +62,8 @@
             strings = {
                 "HTTP/1.1 200 OK",
                 "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\n" + Headers.SEAL + ": seal-1",
+                "HTTP/1.1 200 ",
                 "HTTP/1.1 200 OK\r\nServer: x",
                 "HTTP/1.1 200 OK\r\nContent-Type",
                 "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -76,6 +79,42 @@
         }
     }
 
+    /** Guards against an answer cut short within its body, whose rest is taken from a response that follows it. */
+    @ParameterizedTest
+    @CsvSource({"1, false", "1, true", "9, false", "9, true", "13, false", "13, true"})
+    void testBodyIsNotCompletedWithAnotherResponse(int missing, boolean identified) throws Exception {
+        for (String pause : List.of("", StutteringPeer.LATER)) {
+            try (StutteringPeer peer = new StutteringPeer((previous, present) -> previous.isEmpty()
+                    ? present
+                    : present.substring(0, present.length() - missing)
+                            + pause
+                            + (identified ? previous : StutteringPeer.withoutId(previous)))) {
+                assertEquals("200 answer 1 to a", outcome("GET", peer.address(), "a"));
+                assertEquals(
+                        "failed: head of another response within the body of a response",
+                        outcome("GET", peer.address(), "b"));
+            }
+        }
+    }
+
+    /** Guards against an answer that is held for another one as its body speaks of HTTP. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200",
+                "HHTTP/1.1 200 OK, H",
+                "HTTP/1.1 404 Not Found\r\nServer: x\r\n\r\n",
+                "H",
+                "HTTP/1."
+            })
+    void testBodyMaySpeakOfHttp(String text) throws Exception {
+        try (StutteringPeer peer = new StutteringPeer((previous, present) ->
+                present.replaceFirst("Content-Length: \\d+", "Content-Length: " + (13 + text.length())) + text)) {
+            assertEquals("200 answer 1 to a" + text, outcome("GET", peer.address(), "a"));
+            assertEquals("200 answer 2 to b" + text, outcome("GET", peer.address(), "b"));
+        }
+    }
+
     /** Guards against an answer whose body is taken for that of an extra response which is shorter than it states. */
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length: 500\r\n", ""})
@@ -115,6 +154,18 @@
         }
     }
 
+    /** Guards against another request on a connection whose endpoint may owe the rest of an earlier response. */
+    @Test
+    void testConnectionWithAResponseWithoutIdCarriesNoOtherRequest() throws Exception {
+        try (StutteringPeer peer = new StutteringPeer(
+                (previous, present) -> previous.isEmpty() ? present : StutteringPeer.withoutId(previous) + present)) {
+            assertEquals("200 answer 1 to a", outcome("GET", peer.address(), "a"));
+            assertEquals("200 answer 2 to b", outcome("GET", peer.address(), "b"));
+            assertEquals("200 answer 3 to c", outcome("GET", peer.address(), "c"));
+            assertEquals(2, peer.connections());
+        }
+    }
+
     /** Guards against the framing of a response to HEAD that is applied to the response to another method. */
     @ParameterizedTest
     @ValueSource(strings = {"GET HEAD", "HEAD GET"})
