Forward no other success to a caller who takes a stream up

Cause: only a 200 was checked for its seal, and an answer that is no stream was forwarded whole once no other engine may be tried. Change: a success of any status without a seal fails the send; one that continues no stream becomes 502 to such a caller.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
@@ -20,6 +20,8 @@
 
     private static final int OK = 200;
 
+    private static final int MIN_NON_SUCCESS_STATUS = 300;
+
     /** An event holds a few tokens; a longer one has no end. */
     private static final int MAX_EVENT_BYTES = 1_048_576;
 
@@ -158,7 +160,7 @@
         finish();
         if (headers.contains(Headers.NOT_EXECUTED)) {
             listener.onRefused(this, status);
-        } else if (status == OK && !headers.contains(Headers.SEAL)) {
+        } else if (status < MIN_NON_SUCCESS_STATUS && !headers.contains(Headers.SEAL)) {
             listener.onFailed(this, true, "success status without a response seal");
         } else if (status != OK) {
             listener.onOtherResponse(this, status, headers, otherBody.content());
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -29,6 +29,10 @@
  */
 final class GenerationRun implements Cancellation, StreamListener {
 
+    private static final int OK = 200;
+
+    private static final int MIN_NON_SUCCESS_STATUS = 300;
+
     private static final int BAD_GATEWAY = 502;
 
     private static final int UNAVAILABLE = 503;
@@ -252,7 +256,8 @@
             return;
         }
         if (rest.length > 0 || !run.hasEvents() && !exchange.isStreamBegun()) {
-            onOtherResponse(run, 200, run.headers(), Unpooled.wrappedBuffer(rest));
+            retryOtherResponse(
+                    run, OK, () -> exchange.forwardResponse(OK, run.headers(), Unpooled.wrappedBuffer(rest)));
             return;
         }
         exchange.endStream();
@@ -273,12 +278,33 @@
         if (exchange.isDone()) {
             return;
         }
+        retryOtherResponse(run, status, () -> forwardOtherResponse(status, headers, body));
+    }
+
+    /**
+     * Retries a request whose engine answered with something other than the rest of the stream.
+     *
+     * @param ifLast forwards the answer; run if no other engine may be tried and no stream has begun
+     */
+    private void retryOtherResponse(EngineStream run, int status, Runnable ifLast) {
         run.target().health().failed(false, now());
         countExecution(run);
         exchange.recordResponse(run.target(), run.sentMillis());
+        String reason = "engine answered with something other than a stream: status " + status;
         if (exchange.isStreamBegun() || mayRunOnAnotherEngine()) {
             tried.add(run.target().endpoint().id());
-            retryOrGiveUp("engine answered with something other than a stream: status " + status);
+            retryOrGiveUp(reason);
+        } else {
+            ifLast.run();
+        }
+    }
+
+    /**
+     * Forwards an answer that is no stream. To a caller who takes a stream up, a success would be the rest of it.
+     */
+    private void forwardOtherResponse(int status, HttpHeaders headers, ByteBuf body) {
+        if (lastEventId != StreamEvent.NO_ID && status < MIN_NON_SUCCESS_STATUS) {
+            exchange.fail(BAD_GATEWAY, "engine answered with something other than the rest of a stream: " + status);
         } else {
             exchange.forwardResponse(status, headers, body);
         }
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
@@ -8,13 +8,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.ragwortpitch.adapter.Headers;
 
 /**
- * A TCP server that answers each request with the next script, regardless of the request; the last script repeats. A
- * script is the bytes to send, with the request's attempt id for {@link #ID}, optionally followed by a marker that
+ * A TCP server that answers each request with a script: the next of a list, of which the last one repeats, or the one
+ * that a function returns for the request. A script is the bytes to send, with the request's attempt id for {@link #ID}, optionally followed by a marker that
  * closes or resets the connection.
  */
 public final class ScriptedPeer implements AutoCloseable {
@@ -30,19 +31,34 @@
 
     private static final Pattern ATTEMPT = Pattern.compile("(?i)" + Headers.ATTEMPT + ": *(\\S+)");
 
+    private static final int BACKLOG = 50;
+
     private final ServerSocket listening;
-    private final List<String> scripts;
+    private final UnaryOperator<String> scriptFor;
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private volatile int connections;
 
     public ScriptedPeer(String... scripts) throws IOException {
-        this.scripts = new CopyOnWriteArrayList<>(scripts);
-        this.listening = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        this(inOrder(new CopyOnWriteArrayList<>(scripts)));
+    }
+
+    /**
+     * Creates a server that chooses its answers.
+     *
+     * @param scriptFor returns the script for a request, which has its head and its body
+     */
+    public ScriptedPeer(UnaryOperator<String> scriptFor) throws IOException {
+        this.scriptFor = scriptFor;
+        this.listening = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         Thread thread = new Thread(this::accept, "scripted-peer");
         thread.setDaemon(true);
         thread.start();
     }
 
+    private static UnaryOperator<String> inOrder(List<String> scripts) {
+        return request -> scripts.size() > 1 ? scripts.remove(0) : scripts.get(0);
+    }
+
     public String address() {
         return "127.0.0.1:" + listening.getLocalPort();
     }
@@ -75,7 +91,7 @@
             while (true) {
                 String request = readRequest(in);
                 requests.add(request);
-                String script = scripts.size() > 1 ? scripts.remove(0) : scripts.get(0);
+                String script = scriptFor.apply(request);
                 Matcher attempt = ATTEMPT.matcher(request);
                 String bytes = script.replace(CLOSE, "")
                         .replace(RESET, "")
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
@@ -59,6 +59,13 @@
         return of(instance, store.address(), bounds(0, 0, 300, 1_000), true);
     }
 
+    /**
+     * Returns settings under which requests may be sent again as often as tests need.
+     */
+    public static InstanceSettings withAmpleRetryBudget(String instance, String storeAddress) {
+        return of(instance, storeAddress, bounds(0.2, 1_000_000, 2_000, 5_000), true);
+    }
+
     private static InstanceSettings.Bounds bounds(
             double retryRatio, double retrySlack, long windowMillis, long lateMillis) {
         return new InstanceSettings.Bounds(
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -66,6 +66,13 @@
         return start(Settings.withContact(instance, store.address(), contactMillis));
     }
 
+    /**
+     * Starts a daemon that may send requests again as often as tests need, and waits until it is ready.
+     */
+    public Edge startWithAmpleRetryBudget(String instance, String storeAddress) throws Exception {
+        return start(Settings.withAmpleRetryBudget(instance, storeAddress));
+    }
+
     private Edge start(InstanceSettings settings) throws Exception {
         Edge edge = closer.add(new Edge(settings, 0, TestEventLoop.CLOCK_MILLIS, System::currentTimeMillis));
         edge.start();
