Keep to the route's attempts after an answer that is no stream

A stream that had begun went on at more engines than the route's MaxAttempts allows if one of them answered with something other than a stream: such an answer counts as an execution, but the limit was not checked once a stream had begun (BUDGET). Change: the stream is broken off after the last engine that the route allows, as after a broken connection. Evidence: ResumedStreamTest.testStreamIsBrokenOffAfterTheLastEngine failed before: 32 rows with '96 of 96 responses', each with 3 sends on a route with two attempts; it passes, without sealed answers of status 200, which follow.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -291,9 +291,11 @@
         countExecution(run);
         exchange.recordResponse(run.target(), run.sentMillis());
         String reason = "engine answered with something other than a stream: status " + status;
-        if (exchange.isStreamBegun() || mayRunOnAnotherEngine()) {
+        if (mayRunOnAnotherEngine()) {
             tried.add(run.target().endpoint().id());
             retryOrGiveUp(reason);
+        } else if (exchange.isStreamBegun()) {
+            exchange.fail(BAD_GATEWAY, reason);
         } else {
             ifLast.run();
         }
--- a/edge/src/test/java/org/ragwortpitch/edge/ResumedStreamTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/ResumedStreamTest.java
@@ -245,6 +245,15 @@
                 failures(responses, (response, way) -> faultOfResumed(edge, "/3/x", response, way, true)), responses);
     }
 
+    /** Guards against the same, where no further engine may be tried. */
+    @ParameterizedTest
+    @MethodSource("statuses")
+    void testStreamIsBrokenOffAfterTheLastEngine(int status, boolean sealed) throws Exception {
+        List<EngineResponse> responses = responses(status, sealed);
+        assertNone(
+                failures(responses, (response, way) -> faultOfResumed(edge, "/2/x", response, way, false)), responses);
+    }
+
     /** Guards against the same, where the daemon passes the request on to another one after the beginning. */
     @ParameterizedTest
     @MethodSource("statuses")
