--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -234,6 +234,7 @@
 
     private void readHead(HttpResponse head) {
         if (JoinedHeads.isJoined(head)) {
+            report(head, ResponseOrigin.UNKNOWN, "failed, the status line of another response is in the head");
             fail("status line of another response within the head of a response");
             return;
         }
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ExtraResponseTest.java
@@ -8,8 +8,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +23,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.adapter.HttpCall;
+import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.StutteringPeer;
 import org.ragwortpitch.edge.standin.TestEventLoop;
 
@@ -31,6 +34,9 @@
 
     private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n";
 
+    /** Exceeds the length of each response of the peer, in bytes. */
+    private static final int CUTS = 160;
+
     private final TestEventLoop loops = new TestEventLoop();
 
     private final List<Integer> heard = new CopyOnWriteArrayList<>();
@@ -197,6 +203,37 @@
         }
     }
 
+    /** Guards against an earlier success that is cut short and joins the answer's head, which then tells its status. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void testCutResponseGivesTheAnswerNoOtherStatus(boolean withId) throws Exception {
+        Map<Integer, CompletableFuture<String>> outcomes = new TreeMap<>();
+        Closer peers = new Closer();
+        for (int cut = 1; cut < CUTS; cut++) {
+            int length = cut;
+            StutteringPeer peer = peers.add(new StutteringPeer((previous, present) -> previous.isEmpty()
+                    ? present
+                    : cut(withId ? previous : StutteringPeer.withoutId(previous), length)
+                            + present.replaceFirst("200 OK", "500 Failed")));
+            CompletableFuture<String> second = new CompletableFuture<>();
+            outcomes.put(cut, second);
+            send("GET", peer.address(), "a").thenRun(() -> sendNow("GET", peer.address(), "b", second));
+        }
+        List<String> successes = new ArrayList<>();
+        for (Map.Entry<Integer, CompletableFuture<String>> outcome : outcomes.entrySet()) {
+            String text = outcome.getValue().get(5, TimeUnit.SECONDS);
+            if (text.startsWith("200")) {
+                successes.add("cut after " + outcome.getKey() + ": " + text);
+            }
+        }
+        peers.close();
+        assertEquals(List.of(), successes);
+    }
+
+    private static String cut(String response, int length) {
+        return response.substring(0, Math.min(length, response.length() - 1));
+    }
+
     /** Guards against an earlier refusal, written once more, that makes an endpoint rest once more. */
     @Test
     void testExtraResponseTellsNothingOfTheEndpoint() throws Exception {
