Take a response without a body for one whose end is told

Change: a response whose status or request method allows no body is framed. OutboundConnection.readHead asks the decoder. Evidence: the new row of ConnectionPoolTest.testResponseFramingDeterminesOutcome failed before: 'expected: <204 framed> but was: <204 unframed>'; ConnectionPoolTest (24) and ExtraResponseTest (20) pass.

--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -246,7 +246,9 @@
         }
         skipper.stop();
         pool.responded(this, head);
-        framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        framed = HttpUtil.isContentLengthSet(head)
+                || HttpUtil.isTransferEncodingChunked(head)
+                || decoder.endsWithHead(head);
         reusable &= framed && HttpUtil.isKeepAlive(head);
         idleLimitMillis = KeepAlive.limitMillis(head.headers().get(KeepAlive.HEADER));
         listener.onHead(head.status().code(), head.headers());
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ResponseDecoder.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ResponseDecoder.java
@@ -37,6 +37,13 @@
         headOnly = HttpMethod.HEAD.name().equals(method);
     }
 
+    /**
+     * Returns whether the response to the pending request has no body, whatever its head states.
+     */
+    boolean endsWithHead(HttpMessage head) {
+        return isContentAlwaysEmpty(head);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return headOnly || super.isContentAlwaysEmpty(message);
--- a/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/ConnectionPoolTest.java
@@ -70,6 +70,7 @@
             value = {
                 COMPLETE + "|200 ok framed",
                 "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n2\\r\\nok\\r\\n0\\r\\n\\r\\n|200 ok framed",
+                "HTTP/1.1 204 No Content\\r\\n\\r\\n|204  framed",
                 "HTTP/1.1 200 OK\\r\\n\\r\\nok<close>|200 ok unframed",
                 "HTTP/1.1 200 OK\\r\\n\\r\\nok<reset>|broken sent",
                 "HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nok<close>|broken sent",
