Check what another daemon sends for the rest of a stream

An empty answer of stated length, by which the other daemon tells that nothing is left, broke the stream off. This concerns daemons of an earlier version too, which forward what their engines send. Cause: ProxiedRun forwarded bytes, not events. Change: it continues a stream with a StreamPart as a send to an engine does, also where a caller takes a stream up at it; the first part of a stream is forwarded as before. A success that is no rest becomes 502 to a caller who takes a stream up.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
@@ -22,7 +22,7 @@
     private static final int MIN_NON_SUCCESS_STATUS = 300;
 
     /** An event holds a few tokens; a longer one has no end. */
-    private static final int MAX_EVENT_BYTES = 1_048_576;
+    static final int MAX_EVENT_BYTES = 1_048_576;
 
     /** An engine that has sent events for this long does not crash on the request, in milliseconds. */
     private static final long JUST_BEGUN_MILLIS = 250;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -373,7 +373,7 @@
 
     private void retryOrGiveUp(String reason) {
         kvCache.free();
-        Optional<Cancellation> elsewhere = fallback.tryProxy(executions, sequence.lastId(), resumption.version());
+        Optional<Cancellation> elsewhere = fallback.tryProxy(executions, sequence, resumption.version());
         if (elsewhere.isPresent()) {
             stallDetector.stop();
             current = elsewhere.get();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
@@ -2,15 +2,18 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.lang.System.Logger;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.contact.ProxyPeer;
+import org.ragwortpitch.deployment.RequestKind;
 import org.ragwortpitch.edge.http.CallFailure;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.OutboundRequest;
@@ -39,6 +42,8 @@
 
     private static final int OK = 200;
 
+    private static final int MIN_NON_SUCCESS_STATUS = 300;
+
     private static final int BAD_GATEWAY = 502;
 
     private static final int UNAVAILABLE = 503;
@@ -49,7 +54,7 @@
     private final Exchange exchange;
     private final PoolId pool;
     private final ProxyHop hop;
-    private final long lastEventId;
+    private final EventSequence sequence;
     private final Set<InstanceId> asked = new HashSet<>();
     private final ResponseBody body = new ResponseBody();
     private ProxyPeer peer;
@@ -57,20 +62,25 @@
     private int status;
     private HttpHeaders headers;
     private boolean streaming;
+    private EventSplitter splitter = new EventSplitter();
+    private StreamPart part;
 
-    private ProxiedRun(TrafficContext context, Exchange exchange, PoolId pool, ProxyHop hop, long lastEventId) {
+    private ProxiedRun(TrafficContext context, Exchange exchange, PoolId pool, ProxyHop hop, EventSequence sequence) {
         this.context = context;
         this.exchange = exchange;
         this.pool = pool;
         this.hop = hop;
-        this.lastEventId = lastEventId;
+        this.sequence = sequence;
     }
 
     /**
      * Passes a request on that no endpoint has got yet, and refuses it if no daemon takes it.
      */
     static Cancellation startAtArrival(TrafficContext context, Exchange exchange, PoolId pool, ProxyHop hop) {
-        ProxiedRun run = new ProxiedRun(context, exchange, pool, hop, StreamEvent.NO_ID);
+        String afterEvent = exchange.request().headers().get(Headers.LAST_EVENT);
+        boolean takesUp = exchange.route().kind() == RequestKind.STREAM;
+        EventSequence sequence = new EventSequence(takesUp ? StreamEvent.parseId(afterEvent) : StreamEvent.NO_ID);
+        ProxiedRun run = new ProxiedRun(context, exchange, pool, hop, sequence);
         long remainingMillis = Math.max(1, exchange.remainingMillis(run.now()));
         ScheduledFuture<?> deadline = context.loop().schedule(run::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
         exchange.whenDone(() -> {
@@ -84,10 +94,11 @@
     /**
      * Passes a request on whose deadline and end the caller of this method watches.
      *
-     * @param lastEventId the last event of the stream that went to the caller; {@link StreamEvent#NO_ID} if none
+     * @param sequence the events of its stream that the caller has
      */
-    static Cancellation start(TrafficContext context, Exchange exchange, PoolId pool, ProxyHop hop, long lastEventId) {
-        ProxiedRun run = new ProxiedRun(context, exchange, pool, hop, lastEventId);
+    static Cancellation start(
+            TrafficContext context, Exchange exchange, PoolId pool, ProxyHop hop, EventSequence sequence) {
+        ProxiedRun run = new ProxiedRun(context, exchange, pool, hop, sequence);
         run.passOn();
         return run;
     }
@@ -110,7 +121,7 @@
                 .with("daemon", peer.id())
                 .with("pool", pool)
                 .with("executions", hop.executions())
-                .with("after", lastEventId)
+                .with("after", sequence.lastId())
                 .info(LOGGER);
         exchange.recordProxiedBy(peer.id());
         context.proxies().begin(peer);
@@ -122,8 +133,8 @@
                 ForwardHeaders.ofProxiedRequest(exchange.request().headers());
         forwarded.set(Headers.DEADLINE, Math.max(1, exchange.remainingMillis(now())));
         forwarded.set(ProxyHop.HEADER, hop.encode());
-        if (lastEventId != StreamEvent.NO_ID) {
-            forwarded.set(Headers.LAST_EVENT, lastEventId);
+        if (sequence.lastId() != StreamEvent.NO_ID) {
+            forwarded.set(Headers.LAST_EVENT, sequence.lastId());
         }
         return new OutboundRequest(
                 exchange.request().method(),
@@ -138,24 +149,54 @@
     public void onHead(int newStatus, HttpHeaders newHeaders) {
         status = newStatus;
         headers = newHeaders;
+        part = null;
+        if (sequence.hasBegun()) {
+            continueStream(newStatus, newHeaders);
+            return;
+        }
         streaming = newStatus == OK && "chunked".equalsIgnoreCase(newHeaders.get("transfer-encoding"));
-        if (streaming && !exchange.isDone() && !exchange.isStreamBegun()) {
+        if (streaming && !exchange.isDone()) {
             exchange.beginStream(newStatus, newHeaders);
         }
     }
 
+    /**
+     * Prepares for the part of the stream that follows what the caller has.
+     */
+    private void continueStream(int newStatus, HttpHeaders newHeaders) {
+        part = sequence.part(StreamContent.of(newHeaders));
+        splitter = new EventSplitter();
+        streaming = newStatus == OK && newHeaders.contains(Headers.SEAL) && !part.isOtherContent();
+    }
+
     @Override
     public void onContent(ByteBuf content) {
         if (!streaming) {
             body.append(content);
         } else if (!exchange.isDone()) {
+            forward(content);
+        }
+    }
+
+    private void forward(ByteBuf content) {
+        if (part == null) {
             exchange.forwardChunk(ByteBufUtil.getBytes(content));
+            return;
+        }
+        List<StreamEvent> added = part.add(splitter.feed(content));
+        if (!added.isEmpty() && !exchange.isStreamBegun()) {
+            exchange.beginStream(status, headers);
+        }
+        added.forEach(event -> exchange.forwardChunk(event.bytes()));
+        if (part.fault().isPresent() || splitter.restBytes() > EngineStream.MAX_EVENT_BYTES) {
+            cancel();
+            exchange.fail(BAD_GATEWAY, "daemon sent something other than the rest of the stream");
         }
     }
 
     @Override
     public long bufferedBytes() {
-        return body.length();
+        return body.length() + splitter.restBytes();
     }
 
     @Override
@@ -167,15 +208,34 @@
         if (isDeclined()) {
             body.clear();
             passOn();
-        } else if (streaming && framed) {
-            exchange.endProxiedStream();
-        } else if (exchange.isStreamBegun() || !framed) {
+        } else if (streaming && framed && endsStream()) {
+            endStream();
+        } else if (exchange.isStreamBegun() || !framed || streaming || isOtherSuccess()) {
             exchange.fail(BAD_GATEWAY, "daemon did not complete the response: status " + status);
         } else {
             exchange.forwardProxiedResponse(status, headers, body.content(), hop.executions() > 0);
         }
     }
 
+    private boolean endsStream() {
+        return part == null || splitter.restBytes() == 0 && part.endsStream(true);
+    }
+
+    private void endStream() {
+        if (exchange.isStreamBegun()) {
+            exchange.endProxiedStream();
+        } else {
+            exchange.forwardProxiedResponse(status, headers, Unpooled.EMPTY_BUFFER, hop.executions() > 0);
+        }
+    }
+
+    /**
+     * Returns whether the caller would take the response for the rest of its stream, which it is not.
+     */
+    private boolean isOtherSuccess() {
+        return sequence.hasBegun() && status < MIN_NON_SUCCESS_STATUS;
+    }
+
     @Override
     public void onFailure(CallFailure failure) {
         InstanceId failed = peer.id();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxyFallback.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxyFallback.java
@@ -53,11 +53,11 @@
      * that another daemon has passed on stays here.
      *
      * @param executions  how many times it may have been executed
-     * @param lastEventId the last event of its stream that the caller has; {@link StreamEvent#NO_ID} if none
+     * @param sequence    the events of its stream that the caller has
      * @param version     the software version that began its stream; empty if it has not begun
      * @return cancels the request at the other daemon; empty if it was not handed over
      */
-    Optional<Cancellation> tryProxy(int executions, long lastEventId, Optional<SoftwareVersion> version) {
+    Optional<Cancellation> tryProxy(int executions, EventSequence sequence, Optional<SoftwareVersion> version) {
         boolean outOfReach = context.contacts().isLost(pool) || failedConnects >= MAX_FAILED_CONNECTS;
         long now = context.clockMillis().getAsLong();
         if (!outOfReach
@@ -70,7 +70,7 @@
         }
         exchange.sends().recordSend();
         ProxyHop hop = new ProxyHop(configuration, executions, true, version);
-        return Optional.of(ProxiedRun.start(context, exchange, pool, hop, lastEventId));
+        return Optional.of(ProxiedRun.start(context, exchange, pool, hop, sequence));
     }
 
     private boolean mayRunAfter(int executions) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -123,7 +123,8 @@
      * Lets another daemon serve the request, if this one reaches no endpoint and another does.
      */
     private boolean passOn() {
-        Optional<Cancellation> elsewhere = fallback.tryProxy(executions, StreamEvent.NO_ID, Optional.empty());
+        Optional<Cancellation> elsewhere =
+                fallback.tryProxy(executions, new EventSequence(StreamEvent.NO_ID), Optional.empty());
         elsewhere.ifPresent(proxied -> {
             currentSend = proxied;
             passedOn = true;
