Let endpoints of the soak write answers twice, and compare successes with what the endpoint answered

Cause: the soak had no endpoint that answers twice, and took any sealed response with a whole body for the right one. Change: StutteringLink stands before each endpoint and writes one answer of three once more (with its id, without, cut short, or a mix; along with the answer, while idle, where the next one is due), while a quarter of the requests fails with 500 or 503. Stand-in endpoints seal each answer by attempt and number and record it; Guarantees compares seal, status and body. Callers also send GET and bodies in chunks.

--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.edge.front.CallerRequest;
@@ -54,7 +55,9 @@
     private final List<String> executedPaths = new CopyOnWriteArrayList<>();
     private final AtomicInteger prefills = new AtomicInteger();
     private final FrontServer server;
-    private volatile Mode mode = Mode.GOOD;
+    private final List<StandinAnswer> answers = new CopyOnWriteArrayList<>();
+    private volatile Supplier<Mode> modes = () -> Mode.GOOD;
+    private volatile boolean marksAnswers;
     private volatile long paceMillis;
     private final AtomicInteger crashRequests = new AtomicInteger();
     private final List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
@@ -84,7 +87,28 @@
     }
 
     public void mode(Mode newMode) {
-        mode = newMode;
+        modes = () -> newMode;
+    }
+
+    /**
+     * Draws a mode for each request from now on.
+     */
+    public void modes(Supplier<Mode> drawn) {
+        modes = drawn;
+    }
+
+    /**
+     * Names the attempt in the body of each plain answer and in the data of each event from now on.
+     */
+    public void markAnswers() {
+        marksAnswers = true;
+    }
+
+    /**
+     * Returns the answers to all requests but prefills, in the order in which they began.
+     */
+    public List<StandinAnswer> answers() {
+        return answers;
     }
 
     /**
@@ -92,7 +116,7 @@
      */
     public void failAfterRunning(int status) {
         failureStatus = status;
-        mode = Mode.FAILING;
+        mode(Mode.FAILING);
     }
 
     /**
@@ -162,7 +186,7 @@
      * Crashes now, whatever it executes.
      */
     public void crash() {
-        mode = Mode.CRASHED;
+        mode(Mode.CRASHED);
         pending.forEach(CallerResponse::abort);
         pending.clear();
     }
@@ -178,7 +202,7 @@
      * Returns whether it has crashed and not started again.
      */
     public boolean isCrashed() {
-        return mode == Mode.CRASHED;
+        return modes.get() == Mode.CRASHED;
     }
 
     /**
@@ -186,7 +210,7 @@
      */
     public void restart() {
         startMillis++;
-        mode = Mode.GOOD;
+        mode(Mode.GOOD);
         saysLeaving = false;
     }
 
@@ -249,8 +273,11 @@
         if (crashesOn(request)) {
             crashRequests.incrementAndGet();
         }
-        HttpHeaders headers = new DefaultHttpHeaders()
-                .set(Headers.ATTEMPT, String.valueOf(request.headers().get(Headers.ATTEMPT)));
+        Mode mode = modes.get();
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (request.headers().contains(Headers.ATTEMPT)) {
+            headers.set(Headers.ATTEMPT, request.headers().get(Headers.ATTEMPT));
+        }
         arrivalMillis.add(TestEventLoop.CLOCK_MILLIS.getAsLong());
         if (saysLeaving) {
             headers.set(Headers.LEAVING, 1);
@@ -262,13 +289,13 @@
             headers.set(Headers.RATE_LIMIT, rateLimit);
         }
         if (!id.equals(request.headers().get(Headers.TARGET))) {
-            response.sendFull(421, headers.set(Headers.NOT_EXECUTED, 1), Unpooled.EMPTY_BUFFER);
+            refuse(421, request, response, headers);
         } else if (mode == Mode.FULL) {
-            response.sendFull(503, headers.set(Headers.NOT_EXECUTED, 1), Unpooled.EMPTY_BUFFER);
+            refuse(503, request, response, headers);
         } else if (mode == Mode.CRASHED) {
             response.abort();
         } else if (mode != Mode.SILENT) {
-            run(request, response, headers);
+            run(mode, request, response, headers);
         }
         return Cancellation.NONE;
     }
@@ -279,7 +306,16 @@
                 || !crashBlock.isEmpty() && ("," + blocks).contains("," + crashBlock + ":");
     }
 
-    private void run(CallerRequest request, CallerResponse response, HttpHeaders headers) {
+    private void refuse(int status, CallerRequest request, CallerResponse response, HttpHeaders headers) {
+        answers.add(new StandinAnswer(attempt(request), "", status));
+        response.sendFull(status, headers.set(Headers.NOT_EXECUTED, 1), Unpooled.EMPTY_BUFFER);
+    }
+
+    private static String attempt(CallerRequest request) {
+        return request.headers().get(Headers.ATTEMPT, "");
+    }
+
+    private void run(Mode mode, CallerRequest request, CallerResponse response, HttpHeaders headers) {
         if (request.headers().contains(Headers.ROLE)) {
             prefills.incrementAndGet();
             runAfterPace(
@@ -294,10 +330,12 @@
             return;
         }
         if (mode != Mode.UNSIGNED) {
-            headers.set(Headers.SEAL, "seal-" + id);
+            headers.set(Headers.SEAL, id + "/" + attempt(request) + "/" + executedRequests.size());
         }
+        int status = mode == Mode.FAILING ? failureStatus : 200;
+        answers.add(new StandinAnswer(attempt(request), headers.get(Headers.SEAL, ""), status));
         if (mode == Mode.FAILING) {
-            response.sendFull(failureStatus, headers, text("failed"));
+            response.sendFull(status, headers, text("failed"));
         } else if (request.headers().contains(Headers.TOKENS)) {
             stream(request, response, headers);
         } else if (mode == Mode.BREAKING) {
@@ -307,7 +345,7 @@
             pending.add(response);
             runAfterPace(() -> {
                 if (pending.remove(response)) {
-                    response.sendFull(200, headers, text("done by " + id));
+                    response.sendFull(200, headers, text("done by " + id + mark(request)));
                 }
             });
         }
@@ -316,10 +354,16 @@
     private void stream(CallerRequest request, CallerResponse response, HttpHeaders headers) {
         response.beginStream(200, headers);
         String last = request.headers().get(Headers.LAST_EVENT);
-        event(response, last == null ? 1 : Integer.parseInt(last) + 1);
+        String data = marksAnswers ? attempt(request) : eventData;
+        event(response, last == null ? 1 : Integer.parseInt(last) + 1, data);
+    }
+
+    private String mark(CallerRequest request) {
+        return marksAnswers ? " for " + attempt(request) : "";
     }
 
-    private void event(CallerResponse response, int event) {
+    private void event(CallerResponse response, int event, String data) {
+        Mode mode = modes.get();
         if (event > EVENTS_PER_STREAM) {
             response.endStream();
         } else if (mode == Mode.BREAKING && event == BREAKING_EVENT) {
@@ -329,8 +373,8 @@
             response.sendChunk(text("id: " + event + "\nda"));
             response.endStream();
         } else {
-            response.sendChunk(text("id: " + event + "\ndata: " + eventData + "\n\n"));
-            runAfterPace(() -> event(response, event + 1));
+            response.sendChunk(text("id: " + event + "\ndata: " + data + "\n\n"));
+            runAfterPace(() -> event(response, event + 1, data));
         }
     }
 
--- a/soak/src/test/java/org/ragwortpitch/soak/Caller.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/Caller.java
@@ -1,11 +1,13 @@
 package org.ragwortpitch.soak;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +32,7 @@
             .connectTimeout(Duration.ofMillis(500))
             .build();
     private final Random random;
+    private final Random framings;
     private final List<DaemonUnderTest> daemons;
     private final Consumer<Outcome> outcomes;
     private int daemon;
@@ -37,6 +40,7 @@
 
     Caller(long seed, List<DaemonUnderTest> daemons, Consumer<Outcome> outcomes) {
         this.random = new Random(seed);
+        this.framings = new Random(~seed);
         this.daemons = daemons;
         this.outcomes = outcomes;
         this.daemon = random.nextInt(daemons.size());
@@ -70,20 +74,45 @@
                 .header("Host", SoakWorld.HOST)
                 .header(Headers.AUTHORIZATION, "Bearer " + SoakWorld.KEY)
                 .header(Headers.ATTEMPT, attempt)
-                .header(Headers.DEADLINE, "3000")
-                .POST(HttpRequest.BodyPublishers.ofString("body of " + attempt));
+                .header(Headers.DEADLINE, "3000");
+        RequestFraming framing = framing(route);
+        setBody(request, framing, "body of " + attempt);
         if ("ask".equals(route) || "once".equals(route)) {
             request.header(Headers.TOKENS, "400,5").header(Headers.PREFIX_BLOCKS, "a:300,b:100");
         }
         try {
             HttpResponse<String> answer = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
-            boolean signed = answer.headers().firstValue(Headers.SEAL).isPresent();
+            String seal = answer.headers().firstValue(Headers.SEAL).orElse("");
             return new Outcome(
-                    attempt, route, target.name(), answer.statusCode(), Optional.of(answer.body()), signed, false);
+                    attempt,
+                    route,
+                    framing,
+                    target.name(),
+                    answer.statusCode(),
+                    Optional.of(answer.body()),
+                    seal,
+                    false);
         } catch (ConnectException exception) {
-            return new Outcome(attempt, route, target.name(), 0, Optional.empty(), false, false);
+            return new Outcome(attempt, route, framing, target.name(), 0, Optional.empty(), "", false);
         } catch (IOException exception) {
-            return new Outcome(attempt, route, target.name(), 0, Optional.empty(), false, true);
+            return new Outcome(attempt, route, framing, target.name(), 0, Optional.empty(), "", true);
+        }
+    }
+
+    private RequestFraming framing(String route) {
+        boolean bodyless = "check".equals(route) && framings.nextBoolean();
+        return bodyless
+                ? RequestFraming.NO_BODY
+                : framings.nextBoolean() ? RequestFraming.LENGTH : RequestFraming.CHUNKED;
+    }
+
+    private static void setBody(HttpRequest.Builder request, RequestFraming framing, String body) {
+        switch (framing) {
+            case NO_BODY -> request.GET();
+            case LENGTH -> request.POST(HttpRequest.BodyPublishers.ofString(body));
+            case CHUNKED -> request.POST(HttpRequest.BodyPublishers.ofInputStream(
+                    () -> new ByteArrayInputStream(body.getBytes(StandardCharsets.UTF_8))));
+            default -> throw new IllegalArgumentException(framing.name());
         }
     }
 }
--- a/soak/src/test/java/org/ragwortpitch/soak/FaultSource.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/FaultSource.java
@@ -27,11 +27,13 @@
 
     private final Random random;
     private final Random partitions;
+    private final Random stutters;
     private final SoakWorld world;
 
     FaultSource(long seed, SoakWorld world) {
         this.random = new Random(seed);
         this.partitions = new Random(~seed);
+        this.stutters = new Random(~seed * 31);
         this.world = world;
     }
 
@@ -84,6 +86,20 @@
                 MIN_FAULT_MILLIS + partitions.nextInt(2 * MAX_FAULT_MILLIS));
     }
 
+    /**
+     * Draws what endpoints write a second time, for most of a run. Drawn from a source of its own like
+     * {@link #partition}.
+     */
+    Fault stutter() {
+        ExtraAnswer extra = ExtraAnswer.values()[1 + stutters.nextInt(ExtraAnswer.values().length - 1)];
+        long failureSeed = stutters.nextLong();
+        return new Fault(
+                "extra answers " + extra,
+                () -> world.stutter(extra, failureSeed),
+                world::endStutter,
+                MIN_FAULT_MILLIS + stutters.nextInt(2 * MAX_FAULT_MILLIS));
+    }
+
     private Fault restart(DaemonUnderTest daemon) {
         return new Fault("stop " + daemon.name(), daemon::stop, daemon::start, MIN_FAULT_MILLIS);
     }
--- a/soak/src/test/java/org/ragwortpitch/soak/Guarantees.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/Guarantees.java
@@ -20,10 +20,12 @@
     /** HTTP statuses which state that the request was not executed and will not be. */
     private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
 
-    private static final String STREAM =
-            "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n";
-
     private final List<String> violations = new ArrayList<>();
+    private final EndpointAnswers answers;
+
+    private Guarantees(EndpointAnswers answers) {
+        this.answers = answers;
+    }
 
     /**
      * Checks the observations of one run.
@@ -32,7 +34,7 @@
      * @return a description of each violation
      */
     static List<String> violations(SoakWorld world, List<Outcome> outcomes, boolean planned) {
-        Guarantees guarantees = new Guarantees();
+        Guarantees guarantees = new Guarantees(new EndpointAnswers(world.endpoints()));
         Map<String, Long> runs = new HashMap<>();
         for (StandinEndpoint endpoint : world.endpoints()) {
             endpoint.executedRequests().forEach(run -> {
@@ -53,17 +55,32 @@
         return guarantees.violations;
     }
 
+    /**
+     * Returns a description of each response that is not the answer of an endpoint to the same request.
+     */
+    static List<String> wrongAnswers(List<Outcome> outcomes, EndpointAnswers answers) {
+        Guarantees guarantees = new Guarantees(answers);
+        outcomes.forEach(guarantees::checkAnswer);
+        return guarantees.violations;
+    }
+
+    private void checkAnswer(Outcome outcome) {
+        if (outcome.isServed()) {
+            check(answers.isWholeBody(outcome), "incomplete response or body of another one: " + outcome);
+            check(answers.isOwn(outcome), "success that is not the answer to this request: " + outcome);
+        }
+        check(
+                outcome.seal().isEmpty() || answers.isOwn(outcome),
+                "seal of an answer to another request or with another status: " + outcome);
+    }
+
     private void check(Outcome outcome, long runs, boolean planned) {
+        checkAnswer(outcome);
         if (AT_MOST_ONCE_ROUTES.contains(outcome.route())) {
             check(runs <= 1, "ran " + runs + " times: " + outcome);
             check(!NOT_RUN.contains(outcome.status()) || runs == 0, "reported as not run, but ran: " + outcome);
         }
         if (outcome.isServed()) {
-            String body = outcome.body().orElseThrow();
-            boolean complete = "ask".equals(outcome.route()) || "once".equals(outcome.route())
-                    ? STREAM.equals(body)
-                    : body.startsWith("done by i-app-");
-            check(complete && outcome.signed(), "incomplete or unsigned response: " + outcome);
             check(runs > 0, "served without a run: " + outcome);
         }
         check(
--- a/soak/src/test/java/org/ragwortpitch/soak/SoakTest.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/SoakTest.java
@@ -32,6 +32,9 @@
     /** When a daemon is partitioned from all endpoints, in milliseconds. */
     private static final long PARTITION_MILLIS = 1_500;
 
+    /** When endpoints begin to write answers twice, in milliseconds. */
+    private static final long STUTTER_MILLIS = 500;
+
     /** Required recovery time after the last fault, in milliseconds; the users' documentation demands it. */
     private static final long RECOVERY_MILLIS = 12_000;
 
@@ -91,6 +94,7 @@
         if (!planned) {
             clock.schedule(
                     () -> begin(source.partition(), clock, startMillis), PARTITION_MILLIS, TimeUnit.MILLISECONDS);
+            clock.schedule(() -> begin(source.stutter(), clock, startMillis), STUTTER_MILLIS, TimeUnit.MILLISECONDS);
         }
         long atMillis = 0;
         while (atMillis < FAULTS_MILLIS) {
--- a/soak/src/test/java/org/ragwortpitch/soak/SoakWorld.java
+++ b/soak/src/test/java/org/ragwortpitch/soak/SoakWorld.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.PartitionableLink;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
@@ -28,8 +29,22 @@
 
     private static final int DAEMONS = 3;
 
+    /** The jar of another version to run all daemons from; empty for the present one. */
+    private static final String ONLY_VERSION = System.getProperty("soak.only", "");
+
     private static final int NETWORKS = 250;
 
+    /** Modes to draw from while endpoints stutter; a mode that is listed more often is drawn more often. */
+    private static final List<StandinEndpoint.Mode> FAILURES = List.of(
+            StandinEndpoint.Mode.GOOD,
+            StandinEndpoint.Mode.GOOD,
+            StandinEndpoint.Mode.GOOD,
+            StandinEndpoint.Mode.GOOD,
+            StandinEndpoint.Mode.GOOD,
+            StandinEndpoint.Mode.GOOD,
+            StandinEndpoint.Mode.FULL,
+            StandinEndpoint.Mode.FAILING);
+
     private static final String DEPLOYMENT =
             """
             {"Version":%1$d,"Routes":[
@@ -52,13 +67,16 @@
     private final Closer closer = new Closer();
     private final StandinStore store = closer.add(new StandinStore());
     private final Map<StandinEndpoint, FaultProxy> endpoints = new LinkedHashMap<>();
+    private final Map<StandinEndpoint, StutteringLink> stutters = new LinkedHashMap<>();
     private final Map<StandinEndpoint, String[]> roles = new LinkedHashMap<>();
     private final Map<DaemonUnderTest, List<PartitionableLink>> endpointPaths = new HashMap<>();
     private final List<DaemonUnderTest> daemons = new ArrayList<>();
+    private final long seed;
     private int version;
 
     SoakWorld(long seed) throws IOException {
         Path directory = Files.createTempDirectory("soak-" + seed + "-");
+        this.seed = seed;
         add("i-app-1", "app", "");
         add("i-app-2", "app", "");
         add("i-llm-1", "llm", "decode");
@@ -78,7 +96,7 @@
             }
             int storePort = Integer.parseInt(store.addressWithPorts(ports).replaceAll(".*:", ""));
             FaultProxy link = new FaultProxy(() -> storePort);
-            boolean skewed = daemon == DAEMONS;
+            boolean skewed = daemon == DAEMONS && ONLY_VERSION.isEmpty();
             DaemonUnderTest added = closer.add(new DaemonUnderTest(
                     directory,
                     "front-" + daemon,
@@ -100,6 +118,9 @@
     private static List<String> classPaths(long seed, boolean skewed) {
         String present = System.getProperty("java.class.path");
         String previous = System.getProperty("soak.previous", "");
+        if (!ONLY_VERSION.isEmpty()) {
+            return List.of(ONLY_VERSION);
+        }
         if (previous.isEmpty() || skewed) {
             return List.of(present);
         }
@@ -109,7 +130,10 @@
     private void add(String id, String pool, String role) throws IOException {
         StandinEndpoint endpoint = closer.add(new StandinEndpoint(id));
         endpoint.pace("app".equals(pool) ? 10 : 20);
-        endpoints.put(endpoint, closer.add(new FaultProxy(endpoint::port)));
+        endpoint.markAnswers();
+        StutteringLink stutter = closer.add(new StutteringLink(endpoint.port(), seed * 31 + stutters.size()));
+        stutters.put(endpoint, stutter);
+        endpoints.put(endpoint, closer.add(new FaultProxy(stutter::port)));
         roles.put(endpoint, new String[] {pool, role});
         publish(endpoint, "ready");
     }
@@ -144,6 +168,35 @@
         return endpoints.get(endpoint);
     }
 
+    /**
+     * Lets all endpoints write some answers once more, and fail some requests.
+     *
+     * @param failureSeed from which the requests that fail are drawn
+     */
+    void stutter(ExtraAnswer extra, long failureSeed) {
+        int[] statuses = {500, 503};
+        int number = 0;
+        for (StandinEndpoint endpoint : endpoints()) {
+            Random failures = new Random(failureSeed * 31 + number);
+            endpoint.failAfterRunning(statuses[number++ % statuses.length]);
+            endpoint.modes(() -> FAILURES.get(failures.nextInt(FAILURES.size())));
+            stutters.get(endpoint).stutter(extra);
+        }
+    }
+
+    /** Ends {@link #stutter}. */
+    void endStutter() {
+        endpoints().forEach(endpoint -> {
+            endpoint.mode(StandinEndpoint.Mode.GOOD);
+            stutters.get(endpoint).stutter(ExtraAnswer.NONE);
+        });
+    }
+
+    /** Returns how many answers were written once more. */
+    int extraAnswers() {
+        return stutters.values().stream().mapToInt(StutteringLink::extraAnswers).sum();
+    }
+
     /** Cuts a daemon off from all endpoints. */
     void partition(DaemonUnderTest daemon, PartitionableLink.Partition kind) {
         endpointPaths.get(daemon).forEach(path -> attempt(() -> path.partition(kind)));
