--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Turn.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Turn.java
@@ -12,7 +12,7 @@
  * @param partial    the part of the answer that is written, in thousandths
  * @param before     written before the answer, unless it is the first on its connection
  * @param after      written after the answer, unless its body has no end that can be told
- * @param closes     whether the connection is closed after this, which it is in any case after an answer without a length
+ * @param closes     whether the connection is closed after this; it always is after an answer without a length
  */
 public record Turn(
         boolean call,
