--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
@@ -1,11 +1,13 @@
 package org.ragwortpitch.edge.traffic;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.placement.Placement;
 
 /**
- * Checks before a generation is sent to an engine, which refuse it if it cannot be served. Confined to the traffic
+ * Checks before a generation is sent to an engine, which refuse it if it cannot be served, and after its answer. Confined to the traffic
  * thread.
  */
 record GenerationChecks(Exchange exchange, CallerPatience patience) {
@@ -16,6 +18,10 @@
     /** Retry-After of a request refused for its queue wait, as a multiple of the estimated wait. */
     private static final double RETRY_WAIT_FACTOR = 2;
 
+    private static final int MIN_NON_SUCCESS_STATUS = 300;
+
+    private static final int BAD_GATEWAY = 502;
+
     private static final int UNAVAILABLE = 503;
 
     /**
@@ -77,4 +83,26 @@
         }
         return false;
     }
+
+    /**
+     * Returns whether another engine may execute the request.
+     *
+     * @param executions how many times it may have been executed
+     */
+    boolean mayRunAgain(EventSequence sequence, int executions) {
+        return exchange.route().resumable()
+                && sequence.isResumable()
+                && executions < exchange.route().maxEndpoints();
+    }
+
+    /**
+     * Forwards an answer that is no stream. To a caller who takes a stream up, a success would be the rest of it.
+     */
+    void forwardOther(EventSequence sequence, int status, HttpHeaders headers, ByteBuf body) {
+        if (sequence.hasBegun() && status < MIN_NON_SUCCESS_STATUS) {
+            exchange.fail(BAD_GATEWAY, "engine answered with something other than the rest of a stream: " + status);
+        } else {
+            exchange.forwardResponse(status, headers, body);
+        }
+    }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -31,8 +31,6 @@
 
     private static final int OK = 200;
 
-    private static final int MIN_NON_SUCCESS_STATUS = 300;
-
     private static final int BAD_GATEWAY = 502;
 
     private static final int UNAVAILABLE = 503;
@@ -274,7 +272,7 @@
         if (exchange.isDone()) {
             return;
         }
-        retryOtherResponse(run, status, () -> forwardOtherResponse(status, headers, body));
+        retryOtherResponse(run, status, () -> checks.forwardOther(sequence, status, headers, body));
     }
 
     /**
@@ -287,7 +285,7 @@
         countExecution(run);
         exchange.recordResponse(run.target(), run.sentMillis());
         String reason = "engine answered with something other than a stream: status " + status;
-        if (mayRunOnAnotherEngine()) {
+        if (checks.mayRunAgain(sequence, executions)) {
             tried.add(run.target().endpoint().id());
             retryOrGiveUp(reason);
         } else if (exchange.isStreamBegun()) {
@@ -297,17 +295,6 @@
         }
     }
 
-    /**
-     * Forwards an answer that is no stream. To a caller who takes a stream up, a success would be the rest of it.
-     */
-    private void forwardOtherResponse(int status, HttpHeaders headers, ByteBuf body) {
-        if (sequence.hasBegun() && status < MIN_NON_SUCCESS_STATUS) {
-            exchange.fail(BAD_GATEWAY, "engine answered with something other than the rest of a stream: " + status);
-        } else {
-            exchange.forwardResponse(status, headers, body);
-        }
-    }
-
     @Override
     public void onFailed(EngineStream run, boolean sent, String reason) {
         run.target().health().failed(!sent, now());
@@ -321,7 +308,7 @@
         } else {
             fallback.recordFailedConnect();
         }
-        if (sent && !mayRunOnAnotherEngine()) {
+        if (sent && !checks.mayRunAgain(sequence, executions)) {
             exchange.fail(BAD_GATEWAY, "no complete response from the engine: " + reason);
         } else if (sent) {
             retryOrGiveUp("no complete response from the engine: " + reason);
@@ -363,14 +350,6 @@
         }
     }
 
-    private boolean mayRunOnAnotherEngine() {
-        return mayResume() && executions < exchange.route().maxEndpoints();
-    }
-
-    private boolean mayResume() {
-        return exchange.route().resumable() && sequence.isResumable();
-    }
-
     private void retryOrGiveUp(String reason) {
         kvCache.free();
         Optional<Cancellation> elsewhere = fallback.tryProxy(executions, sequence, resumption.version());
@@ -404,7 +383,7 @@
         }
         if (current instanceof EngineStream run) {
             run.target().health().failed(true, now());
-            if (mayResume() && executions + 1 < exchange.route().maxEndpoints()) {
+            if (checks.mayRunAgain(sequence, executions + 1)) {
                 run.cancel();
                 onFailed(run, true, "no data before the stall timeout");
             }
--- a/edge/src/test/java/org/ragwortpitch/edge/ResumedStreamTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/ResumedStreamTest.java
@@ -59,7 +59,7 @@
     private static final List<String> CONTENT_TYPES =
             List.of("text/plain", "application/json", EngineResponse.EVENT_STREAM, "");
 
-    /** What an engine may send other than the rest of the stream; text that ends in a blank line looks like an event. */
+    /** What an engine may send other than the rest; text that ends in a blank line looks like an event. */
     private static final List<String> BODIES = List.of(
             "",
             "upstream failed",
