--- a/edge/src/main/java/org/ragwortpitch/edge/front/CallerResponseEncoder.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerResponseEncoder.java
@@ -5,8 +5,8 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /**
- * Encodes the responses to one caller, and leaves out the body of a response to HEAD, which the caller would read as its
- * next response.
+ * Encodes the responses to one caller, and leaves out the body of a response to HEAD, which the caller would read as
+ * its next response.
  */
 final class CallerResponseEncoder extends HttpResponseEncoder {
 
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -248,13 +248,13 @@
         connecting.addListener(done -> {
             if (done.isSuccess()) {
                 observer.onHeard(address);
+                connection.opened(connecting.channel());
             } else if (!pending.cancelled) {
                 observer.onConnectFailed(address);
             }
             if (pending.cancelled) {
                 connecting.channel().close();
             } else if (done.isSuccess()) {
-                connection.opened(connecting.channel());
                 pending.sent = connection.send(request, listener);
             } else {
                 listener.onFailure(CallFailure.unsent(done.cause()));
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundConnection.java
@@ -226,7 +226,7 @@
      * Closes the connection as the peer has sent more than the responses to its requests.
      */
     private void closeForExcess(HttpObject part) {
-        if (part instanceof HttpResponse head) {
+        if (part instanceof HttpResponse head && head.decoderResult().isSuccess()) {
             report(head, ResponseOrigin.UNKNOWN, "connection closed, no request was pending");
         }
         channel.close();
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ResponseSkipper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ResponseSkipper.java
@@ -10,8 +10,8 @@
 
 /**
  * Skips the responses that stand where the answer to a pending request is due, and limits their number, the time that
- * each may take, and the time in which the answer has to follow one that bears no attempt id. Confined to its executor's
- * thread.
+ * each may take, and the time in which the answer has to follow one that bears no attempt id. Confined to its
+ * executor's thread.
  */
 final class ResponseSkipper {
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
@@ -7,8 +7,8 @@
 import org.ragwortpitch.placement.Placement;
 
 /**
- * Checks before a generation is sent to an engine, which refuse it if it cannot be served, and after its answer. Confined to the traffic
- * thread.
+ * Checks before a generation is sent to an engine, which refuse it if it cannot be served, and after its answer.
+ * Confined to the traffic thread.
  */
 record GenerationChecks(Exchange exchange, CallerPatience patience) {
 
--- a/edge/src/test/java/org/ragwortpitch/edge/http/PartialExtraResponseTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/http/PartialExtraResponseTest.java
@@ -56,7 +56,7 @@
         return send(method, address, attemptId).get(8, TimeUnit.SECONDS);
     }
 
-    /** Guards against the status of an extra response, cut short within its head, with the id and seal of the answer. */
+    /** Guards against the status of an extra response, cut within its head, with the id and seal of the answer. */
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/ScriptedPeer.java
@@ -15,8 +15,8 @@
 
 /**
  * A TCP server that answers each request with a script: the next of a list, of which the last one repeats, or the one
- * that a function returns for the request. A script is the bytes to send, with the request's attempt id for {@link #ID},
- * optionally followed by a marker that closes or resets the connection.
+ * that a function returns for the request. A script is the bytes to send, with the request's attempt id for
+ * {@link #ID}, optionally followed by a marker that closes or resets the connection.
  */
 public final class ScriptedPeer implements AutoCloseable {
 
