Read cold starts, homes and regions from configuration, entries and settings

Cause: the configuration, the entries of endpoints and the settings state how long endpoints are cold, what they take meanwhile, and which regions may serve a route or an account; all of it was ignored. Nothing acts on them yet.

--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
@@ -1,9 +1,11 @@
 package org.ragwortpitch.edge.standin;
 
+import java.util.Map;
 import java.util.Optional;
 import org.ragwortpitch.adapter.InstanceSettings;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.identity.Region;
 
 /**
  * Settings of daemons in tests, which bind port 0 on loopback, that is, any free port.
@@ -77,6 +79,7 @@
         return new InstanceSettings(
                 new InstanceId(instance),
                 new FailureDomain("a"),
+                Map.of(new FailureDomain("a"), new Region("r")),
                 "127.0.0.1",
                 ANY_PORT,
                 ANY_PORT,
--- a/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Endpoint.java
@@ -21,6 +21,8 @@
  * @param reclaimable       whether the platform may reclaim it on short notice
  * @param reclaimedInMillis the time until it is reclaimed, in milliseconds; empty if unknown
  * @param version           the version of its software, which may change with its incarnation
+ * @param coldMillis        how much longer it was cold when it wrote its entry, in milliseconds; 0 if it was not,
+ *                          negative if the entry states something that is no time
  */
 public record Endpoint(
         EndpointId id,
@@ -33,7 +35,11 @@
         long startMillis,
         boolean reclaimable,
         OptionalLong reclaimedInMillis,
-        SoftwareVersion version) {
+        SoftwareVersion version,
+        long coldMillis) {
+
+    /** Stands for a stated time that can't be read. */
+    public static final long COLD_TIME_UNREADABLE = -1;
 
     /**
      * Refuses an endpoint that can't be named, connected to or given a request.
@@ -51,6 +57,24 @@
         }
     }
 
+    /**
+     * Creates an endpoint that is not cold.
+     */
+    public Endpoint(
+            EndpointId id,
+            PoolId pool,
+            String address,
+            FailureDomain domain,
+            int slots,
+            boolean leaving,
+            EndpointRole role,
+            long startMillis,
+            boolean reclaimable,
+            OptionalLong reclaimedInMillis,
+            SoftwareVersion version) {
+        this(id, pool, address, domain, slots, leaving, role, startMillis, reclaimable, reclaimedInMillis, version, 0);
+    }
+
     /**
      * Returns whether this endpoint and another are the same incarnation with the same draining state, role and
      * pool, so that requests are routed to both alike.
@@ -64,7 +88,18 @@
      */
     public Endpoint asLeaving() {
         return new Endpoint(
-                id, pool, address, domain, slots, true, role, startMillis, reclaimable, reclaimedInMillis, version);
+                id,
+                pool,
+                address,
+                domain,
+                slots,
+                true,
+                role,
+                startMillis,
+                reclaimable,
+                reclaimedInMillis,
+                version,
+                coldMillis);
     }
 
     /**
--- a/policy/src/main/java/org/ragwortpitch/deployment/Route.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Route.java
@@ -1,7 +1,9 @@
 package org.ragwortpitch.deployment;
 
 import java.util.List;
+import java.util.Set;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.Region;
 import org.ragwortpitch.identity.RouteId;
 
 /**
@@ -19,6 +21,7 @@
  * @param maxEndpoints    the maximum number of endpoints that may run one attempt of a caller
  * @param open            whether requests without an API key are accepted
  * @param resumable       whether an interrupted stream may resume on another endpoint
+ * @param homes           the regions that may serve its requests; empty if any region may
  */
 public record Route(
         RouteId id,
@@ -32,13 +35,47 @@
         List<PoolShare> shares,
         int maxEndpoints,
         boolean open,
-        boolean resumable) {
+        boolean resumable,
+        Set<Region> homes) {
 
     /**
-     * Copies the shares.
+     * Copies the shares and the homes.
      */
     public Route {
         shares = List.copyOf(shares);
+        homes = Set.copyOf(homes);
+    }
+
+    /**
+     * Creates a route whose requests any region may serve.
+     */
+    public Route(
+            RouteId id,
+            String host,
+            String pathPrefix,
+            RequestKind kind,
+            int timeoutMillis,
+            int targetMillis,
+            int targetGapMillis,
+            int priority,
+            List<PoolShare> shares,
+            int maxEndpoints,
+            boolean open,
+            boolean resumable) {
+        this(
+                id,
+                host,
+                pathPrefix,
+                kind,
+                timeoutMillis,
+                targetMillis,
+                targetGapMillis,
+                priority,
+                shares,
+                maxEndpoints,
+                open,
+                resumable,
+                Set.of());
     }
 
     /**
