Check that a caller is still there before a request that was read late is sent on

Cause: after a start of all daemons the event loop is busy for a second or more. A request and its caller's close then wait together, the request is read first and is sent to an endpoint although its caller has left (GONE). Change: while the event loop is behind by 300 ms, a request is handled after whatever else has arrived on its connection, and again before it is sent over a new connection. Measured: FrontServerTest's new case failed while the stall was not seen (1 run of a request whose caller had left), and passes.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -185,6 +185,8 @@
 
     private void stepTraffic() {
         gossipStep++;
+        front.recordTurn();
+        proxied.recordTurn();
         if (gossipStep % STEPS_BETWEEN_CONTACT_CHECKS == 0) {
             contacts.check();
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -178,6 +179,20 @@
         Response current = new Response(HttpUtil.isKeepAlive(head));
         head = null;
         activeResponse = current;
+        if (server.isStalled()) {
+            // The caller's close may have arrived behind the request, and is read only after this one.
+            channel.eventLoop().execute(() -> {
+                current.checkCaller();
+                if (activeResponse == current) {
+                    handle(request, current);
+                }
+            });
+        } else {
+            handle(request, current);
+        }
+    }
+
+    private void handle(CallerRequest request, Response current) {
         try {
             Cancellation cancel = handler.handle(request, current);
             if (activeResponse == current) {
@@ -265,6 +280,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        end();
+    }
+
+    private void end() {
         closing = true;
         server.closed(this);
         pipelined.forEach(ReferenceCountUtil::release);
@@ -369,6 +388,16 @@
             }
         }
 
+        @Override
+        public void checkCaller() {
+            if (activeResponse == this && server.isStalled()) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+                if (!channel.isActive()) {
+                    end();
+                }
+            }
+        }
+
         @Override
         public boolean isWritable() {
             return channel.isWritable();
--- a/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
@@ -33,10 +33,19 @@
     /** Unsent bytes: above the high watermark a caller counts as not reading, below the low one as reading again. */
     private static final WriteBufferWaterMark WRITE_WATERMARKS = new WriteBufferWaterMark(32_768, 131_072);
 
+    /**
+     * Time without a turn of the event loop after which requests that wait may have lost their callers, in milliseconds;
+     * longer than the pause between the checks of timeouts.
+     */
+    private static final long STALLED_MILLIS = 300;
+
+    private final LongSupplier clockMillis;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Channel listening;
     private final ScheduledFuture<?> timeoutChecks;
     private boolean draining;
+    private long lastTurnMillis;
+    private long stalledUntilMillis = Long.MIN_VALUE;
 
     /**
      * Binds the address and starts to accept connections.
@@ -50,6 +59,8 @@
             Supplier<CallerLimits> limits,
             RequestHandler handler,
             LongSupplier clockMillis) {
+        this.clockMillis = clockMillis;
+        this.lastTurnMillis = clockMillis.getAsLong();
         listening = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -75,9 +86,32 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
-        timeoutChecks =
-                FaultBarrier.schedule(loop, "check timeouts", TIMEOUT_CHECK_MILLIS, () -> List.copyOf(connections)
-                        .forEach(connection -> connection.checkTimeouts(clockMillis.getAsLong())));
+        timeoutChecks = FaultBarrier.schedule(loop, "check timeouts", TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
+    }
+
+    private void checkTimeouts() {
+        recordTurn();
+        List.copyOf(connections).forEach(connection -> connection.checkTimeouts(clockMillis.getAsLong()));
+    }
+
+    /**
+     * Records that the event loop runs its periodic tasks.
+     */
+    public void recordTurn() {
+        long nowMillis = clockMillis.getAsLong();
+        if (nowMillis - lastTurnMillis > STALLED_MILLIS) {
+            // What arrived during the stall is read after the tasks that were due.
+            stalledUntilMillis = nowMillis + STALLED_MILLIS;
+        }
+        lastTurnMillis = nowMillis;
+    }
+
+    /**
+     * Returns whether the event loop is so far behind that a caller may have left while its request waited to be read.
+     */
+    boolean isStalled() {
+        long nowMillis = clockMillis.getAsLong();
+        return nowMillis < stalledUntilMillis || nowMillis - lastTurnMillis > STALLED_MILLIS;
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/ConnectionPool.java
@@ -247,6 +247,7 @@
                 .connect(socketAddress(address));
         connecting.addListener(done -> {
             if (done.isSuccess()) {
+                request.beforeSend().run();
                 observer.onHeard(address);
                 connection.opened(connecting.channel());
             } else if (!pending.cancelled) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -152,7 +152,14 @@
         account.ifPresent(known -> headers.set(Headers.ACCOUNT, known.id().value()));
         sends.recordSend();
         answerLog.recordSend(target.endpoint().id());
-        return new OutboundRequest(request.method(), request.target(), headers, request.body(), attemptId);
+        return new OutboundRequest(
+                request.method(),
+                request.target(),
+                headers,
+                request.body(),
+                attemptId,
+                !attemptId.isEmpty(),
+                response::checkCaller);
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
@@ -142,7 +142,8 @@
                 forwarded,
                 exchange.request().body(),
                 exchange.attemptId(),
-                false);
+                false,
+                exchange.response()::checkCaller);
     }
 
     @Override
--- a/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/front/FrontServerTest.java
@@ -239,4 +239,38 @@
             }
         }
     }
+
+    /** Guards against requests that run although their callers have left while the event loop was busy. */
+    @ParameterizedTest
+    @CsvSource({"true, 0", "false, 1"})
+    void testRequestReadLateRunsOnlyIfItsCallerHasStayed(boolean leaves, int runs) throws Exception {
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        loops.loop().execute(() -> {
+            busy.countDown();
+            awaitWithoutInterrupt(left);
+        });
+        assertTrue(busy.await(5, TimeUnit.SECONDS));
+        Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), server.address().getPort());
+        socket.getOutputStream().write("GET /wait HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        if (leaves) {
+            socket.close();
+        }
+        // Longer than the time after which the server takes its event loop for stalled.
+        Thread.sleep(600);
+        left.countDown();
+        exchange("GET /a HTTP/1.1~Connection: close~~");
+        loops.loop().submit(() -> {}).get(5, TimeUnit.SECONDS);
+        assertEquals(runs, handled.stream().filter("GET /wait "::equals).count());
+        socket.close();
+    }
+
+    private static void awaitWithoutInterrupt(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(10, TimeUnit.SECONDS));
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
