Keep requests away from evacuated failure domains

Cause: operators have no way to empty a failure domain before its planned loss; its endpoints get requests until they leave. Change: records evacuate/DOMAIN of the operators' topic are read with the configuration and told by gossip; for each domain the order with the highest era and offset holds. EndpointTable offers no endpoint of an evacuated domain, a decode is checked again before it is sent, refusals name the evacuation, and the fleet planner and the role assigner leave the domain out. The step of the engine duties moves from Control to EngineDuty.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -141,6 +141,7 @@
         EndpointPermits permits = new EndpointPermits(
                 settings.instance(), () -> peers.daemons(clockMillis.getAsLong()), this::medianMillis);
         table = new EndpointTable(permits, settings.firstStart(), connections::closeIdle);
+        metrics.countEvacuatedDomains(() -> table.evacuations().domains().size());
         RetryShares shares = new RetryShares(settings.firstStart(), createdMillis);
         retryBudgets = new RetryBudgets(bounds, shares, peers::fleetSize, metrics::recordBudgetDenial);
         gateway = new Gateway(trafficContext(), new BufferingHttpCaller(trafficLoop, connections));
@@ -155,7 +156,8 @@
                 ConnectionPool.hostAndPort(front.address()),
                 ConnectionPool.hostAndPort(socket.address()));
         gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced, this::onDeploymentAnnounced);
-        storeUpdates = newStoreUpdates();
+        storeUpdates = new StoreUpdates(
+                trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
         ready = listen(settings.readyAddress(), query -> readiness());
         AddressDirectory addresses = new AddressDirectory(
                 peers, self, this::status, table::pools, () -> bounds.maxTtlSeconds(), clockMillis);
@@ -219,11 +221,6 @@
                 wallMillis);
     }
 
-    private StoreUpdates newStoreUpdates() {
-        return new StoreUpdates(
-                trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
-    }
-
     private TrafficContext trafficContext() {
         return new TrafficContext(
                 trafficLoop,
--- a/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
@@ -14,6 +14,7 @@
 import org.ragwortpitch.edge.traffic.Gateway;
 import org.ragwortpitch.edge.traffic.Gossiper;
 import org.ragwortpitch.edge.traffic.PoisonRequests;
+import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.identity.EndpointId;
 
 /**
@@ -80,6 +81,11 @@
         });
     }
 
+    @Override
+    public void onEvacuations(Evacuations evacuations) {
+        trafficLoop.execute(() -> table.apply(evacuations, "store", clockMillis.getAsLong()));
+    }
+
     @Override
     public void onEndpoints(Collection<Endpoint> now, long changedOffset) {
         trafficLoop.execute(() -> {
--- a/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
@@ -10,6 +10,7 @@
 import org.ragwortpitch.edge.traffic.EndpointTable;
 import org.ragwortpitch.edge.traffic.Gossiper;
 import org.ragwortpitch.edge.traffic.PoolDemands;
+import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
@@ -41,11 +42,13 @@
         Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = gossiper.receivedCounts();
         Set<EndpointIncarnation> saidToLeave = table.saidToLeave();
         Set<EndpointId> resting = table.resting(clockMillis.getAsLong());
+        Evacuations evacuations = table.evacuations();
         boolean readsStore = storeReader.getAsBoolean();
         boolean suspendDuties = !readsStore || cutOffAlone.getAsBoolean();
         controlLoop.execute(() -> {
             control.updateSaidToLeave(saidToLeave);
             control.updateResting(resting);
+            control.learnEvacuations(evacuations);
             control.updatePoolDemands(sample);
             control.updatePeerCounts(peerCounts);
             control.suspendDuties(suspendDuties);
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -25,6 +25,7 @@
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.edge.task.FaultBarrier;
+import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.InstanceId;
@@ -108,8 +109,8 @@
         this.store = new StoreClient(
                 loop, caller, settings.storeAddress(), clockMillis, metrics, listener::onStoreReachable);
         String incarnation = self.id().value() + "-" + self.startMillis();
-        this.deployments = new DeploymentFollower(
-                loop, store, settings.bounds().contactMillis(), clockMillis, listener::onDeployment);
+        this.deployments =
+                new DeploymentFollower(loop, store, settings.bounds().contactMillis(), clockMillis, listener);
         this.usage = new UsageWriter(loop, store, self);
         this.poison = new PoisonRecorder(loop, store);
         this.duties = new DutyRunner(
@@ -134,14 +135,16 @@
                 settings.bounds().usageWindowMillis(),
                 settings.bounds().usageLateMillis(),
                 firstUsageWindow(medianMillis.getAsLong()));
-        FleetScaler fleetScaler = new FleetScaler(platform, self.id(), clockMillis);
-        EngineRoleAssigner roleAssigner = new EngineRoleAssigner(caller, self.id(), clockMillis);
+        EngineDuty engines = new EngineDuty(
+                new FleetScaler(platform, self.id(), clockMillis),
+                new EngineRoleAssigner(caller, self.id(), clockMillis),
+                listener::onRoleChanges);
         return (token, refused) -> {
             reporter.updatePeerCounts(peerCounts);
             reporter.step(token, medianMillis.getAsLong(), incarnations(), refused);
-            deployments.current().ifPresent(deployment -> deployment
-                    .pools()
-                    .forEach(pool -> stepEngines(token, pool, fleetScaler, roleAssigner)));
+            deployments
+                    .current()
+                    .ifPresent(deployment -> deployment.pools().forEach(pool -> stepEngines(token, pool, engines)));
         };
     }
 
@@ -157,21 +160,12 @@
                 .collect(Collectors.toSet());
     }
 
-    private void stepEngines(long token, Pool pool, FleetScaler fleetScaler, EngineRoleAssigner roleAssigner) {
+    private void stepEngines(long token, Pool pool, EngineDuty engines) {
         Collection<Endpoint> listed = endpoints.endpoints().stream()
                 .map(engine -> saidToLeave.contains(engine.incarnation()) ? engine.asLeaving() : engine)
                 .toList();
-        if (pool.engine().isEmpty()
-                || listed.stream().noneMatch(engine -> engine.pool().equals(pool.id()))) {
-            return;
-        }
         PoolDemand demand = poolDemands.getOrDefault(pool.id(), new PoolDemand(0, 0));
-        pool.scaling().ifPresent(spec -> {
-            fleetScaler.step(token, pool.id(), spec, listed, demand).ifPresent(count -> {
-                roleAssigner.step(token, pool.id(), pool.engine().get(), listed, resting, count.decodeEngines());
-                listener.onRoleChanges(roleAssigner.changing());
-            });
-        });
+        engines.step(token, pool, listed, resting, deployments.evacuated(), demand);
     }
 
     /**
@@ -285,6 +279,11 @@
         deployments.readClosely(closely);
     }
 
+    /** Adds the evacuations that other daemons have reported. */
+    public void learnEvacuations(Evacuations reported) {
+        deployments.learn(reported);
+    }
+
     /** Has a version of the configuration read that another daemon has applied. */
     public void deploymentAnnounced(long version) {
         deployments.announced(version);
@@ -325,7 +324,7 @@
             Consumer<TopicReading> afterRead) {
         TopicListener applying = new TopicListener() {
             @Override
-            public void onLoaded(List<KeyedRecord> records) {
+            public void onLoaded(List<KeyedRecord> records, long endOffset) {
                 consumer.accept(records, true);
             }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
@@ -4,6 +4,7 @@
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.identity.EndpointId;
 
 /**
@@ -16,6 +17,11 @@
      */
     void onDeployment(Deployment deployment);
 
+    /**
+     * Called with the evacuations of failure domains after each change, before a configuration that was read with them.
+     */
+    void onEvacuations(Evacuations evacuations);
+
     /**
      * Called with all listed endpoints after each change.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DeploymentFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DeploymentFollower.java
@@ -4,20 +4,26 @@
 import java.lang.System.Logger;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.DeploymentCodec;
 import org.ragwortpitch.adapter.KeyedRecord;
 import org.ragwortpitch.adapter.StoreCodec;
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.edge.task.FaultBarrier;
+import org.ragwortpitch.evacuation.EvacuationOrder;
+import org.ragwortpitch.evacuation.Evacuations;
+import org.ragwortpitch.evacuation.StorePosition;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.logging.Event;
 
 /**
- * Follows the operators' configuration, of which only the highest version counts. A version that another daemon has
- * applied is read from the store as well. Confined to the control thread.
+ * Follows the operators' topic: the configuration, of which only the highest version counts, and the evacuations of
+ * failure domains. A version that another daemon has applied is read from the store as well. Confined to the control
+ * thread.
  */
 final class DeploymentFollower implements TopicListener {
 
@@ -46,9 +52,11 @@
 
     private final EventLoop loop;
     private final long waitMillis;
-    private final Consumer<Deployment> onDeployment;
+    private final StoreClient store;
+    private final ControlListener listener;
     private final TopicFollower follower;
     private final FaultBarrier barrier = new FaultBarrier("apply configuration");
+    private Evacuations evacuations = Evacuations.NONE;
     private boolean closely = true;
     private Deployment deployment;
 
@@ -57,17 +65,14 @@
      *
      * @param contactMillis how long after a fault an instance counts as connected again, in milliseconds
      * @param clockMillis   the monotonic clock
-     * @param onDeployment  called with each newer version
+     * @param listener      receives each newer version, and the evacuations after each change
      */
     DeploymentFollower(
-            EventLoop loop,
-            StoreClient store,
-            long contactMillis,
-            LongSupplier clockMillis,
-            Consumer<Deployment> onDeployment) {
+            EventLoop loop, StoreClient store, long contactMillis, LongSupplier clockMillis, ControlListener listener) {
         this.loop = loop;
         this.waitMillis = Math.min(MAX_WAIT_MILLIS, Math.max(CLOSE_WAIT_MILLIS, contactMillis - READ_MARGIN_MILLIS));
-        this.onDeployment = onDeployment;
+        this.store = store;
+        this.listener = listener;
         this.follower = new TopicFollower(
                 loop,
                 store,
@@ -118,13 +123,61 @@
         }
     }
 
+    /**
+     * Returns the evacuated failure domains.
+     */
+    Set<FailureDomain> evacuated() {
+        return evacuations.domains();
+    }
+
+    /**
+     * Adds the evacuations that other daemons have reported.
+     */
+    void learn(Evacuations reported) {
+        update(evacuations.merge(reported));
+    }
+
+    /** Applies evacuations before the configuration, so that a daemon that is ready to serve knows them. */
     @Override
-    public void onLoaded(List<KeyedRecord> records) {
-        onRecords(records);
+    public void onLoaded(List<KeyedRecord> records, long endOffset) {
+        barrier.run(
+                "evacuations up to offset " + endOffset,
+                () -> update(evacuations.load(
+                        position(endOffset),
+                        evacuationOrders(records)
+                                .filter(EvacuationOrder::active)
+                                .toList())));
+        applyConfiguration(records);
     }
 
     @Override
     public void onRecords(List<KeyedRecord> records) {
+        evacuationOrders(records)
+                .forEach(order -> barrier.run("evacuation " + order, () -> update(evacuations.with(order))));
+        applyConfiguration(records);
+    }
+
+    private Stream<EvacuationOrder> evacuationOrders(List<KeyedRecord> records) {
+        return records.stream()
+                .filter(entry -> entry.key().startsWith(StoreCodec.EVACUATION_KEY_PREFIX))
+                .map(entry -> new EvacuationOrder(
+                        new FailureDomain(entry.key().substring(StoreCodec.EVACUATION_KEY_PREFIX.length())),
+                        position(entry.offset()),
+                        entry.value().length > 0));
+    }
+
+    private StorePosition position(long offset) {
+        return new StorePosition(store.era().orElse(0), offset);
+    }
+
+    private void update(Evacuations next) {
+        if (!next.equals(evacuations)) {
+            evacuations = next;
+            listener.onEvacuations(next);
+        }
+    }
+
+    private void applyConfiguration(List<KeyedRecord> records) {
         records.stream()
                 .filter(entry -> StoreCodec.CONFIGURATION_KEY.equals(entry.key()) && entry.value().length > 0)
                 .forEach(entry -> barrier.run(entry.key(), () -> apply(entry)));
@@ -144,7 +197,7 @@
                         .with("version", next.version())
                         .with("offset", entry.offset())
                         .info(LOGGER);
-                onDeployment.accept(next);
+                listener.onDeployment(next);
             }
         } catch (CodecException exception) {
             Event.of("deployment-unreadable")
--- a/edge/src/main/java/org/ragwortpitch/edge/control/EngineRoleAssigner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EngineRoleAssigner.java
@@ -16,6 +16,7 @@
 import org.ragwortpitch.deployment.EngineSpec;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
@@ -59,6 +60,7 @@
      * Orders engines of a pool to switch roles where the plan differs from their current ones.
      *
      * @param resting       engines that want nothing of this daemon now
+     * @param evacuated     failure domains whose engines keep their role, get no orders and count for no role
      * @param decodeEngines how many engines have to decode
      */
     void step(
@@ -67,13 +69,15 @@
             EngineSpec spec,
             Collection<Endpoint> endpoints,
             Set<EndpointId> resting,
+            Set<FailureDomain> evacuated,
             int decodeEngines) {
         long now = clockMillis.getAsLong();
         blockedUntilMillis.values().removeIf(until -> until <= now);
         changingUntilMillis.values().removeIf(until -> until <= now);
         firstSeenMillis.keySet().retainAll(endpoints.stream().map(Endpoint::id).collect(Collectors.toSet()));
         List<Endpoint> engines = endpoints.stream()
-                .filter(engine -> engine.pool().equals(pool) && !engine.leaving())
+                .filter(engine ->
+                        engine.pool().equals(pool) && !engine.leaving() && !evacuated.contains(engine.domain()))
                 .toList();
         if (engines.stream().noneMatch(Endpoint::reclaimable)) {
             return;
--- a/edge/src/main/java/org/ragwortpitch/edge/control/FleetScaler.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FleetScaler.java
@@ -66,10 +66,16 @@
     /**
      * Orders the endpoints of a pool that are planned but missing.
      *
+     * @param evacuated failure domains for which nothing is ordered, and whose share is ordered in the others
      * @return how many engines of each role the pool needs; empty until the fleet is stable
      */
     Optional<EngineCount> step(
-            long fencingToken, PoolId pool, ScalingSpec spec, Collection<Endpoint> endpoints, PoolDemand demand) {
+            long fencingToken,
+            PoolId pool,
+            ScalingSpec spec,
+            Collection<Endpoint> endpoints,
+            Set<FailureDomain> evacuated,
+            PoolDemand demand) {
         Map<FailureDomain, DomainFleet> fleets = currentFleets(pool, spec, endpoints);
         long nowMillis = clockMillis.getAsLong();
         if (!estimators.containsKey(pool) && !isStable(pool, fleets, nowMillis)) {
@@ -77,7 +83,10 @@
         }
         EngineDemandEstimator estimator =
                 estimators.computeIfAbsent(pool, id -> new EngineDemandEstimator(initialCount(fleets.values())));
-        EngineCount count = estimator.count(demand, fleets.size(), nowMillis);
+        int serviceable = (int) fleets.keySet().stream()
+                .filter(domain -> !evacuated.contains(domain))
+                .count();
+        EngineCount count = estimator.count(demand, Math.max(1, serviceable), nowMillis);
         Set<FailureDomain> unavailable = fleets.keySet().stream()
                 .filter(domain -> unavailableUntilMillis.containsKey(new Subject(pool, domain, true)))
                 .collect(Collectors.toSet());
@@ -85,7 +94,7 @@
                 .filter(endpoint -> endpoint.pool().equals(pool) && endpoint.leaving())
                 .map(Endpoint::domain)
                 .collect(Collectors.toSet());
-        FleetPlanner.plan(spec, count.total(), fleets, unavailable, estimator.hasSeenDemand())
+        FleetPlanner.plan(spec, count.total(), fleets, unavailable, evacuated, estimator.hasSeenDemand())
                 .forEach((domain, plan) -> {
                     DomainFleet present = fleets.get(domain);
                     boolean awaitsCapacity = plan.onDemand() < present.onDemand() || leaving.contains(domain);
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicFollower.java
@@ -182,7 +182,7 @@
                     .with("offset", offset)
                     .info(LOGGER);
             barrier.run("load up to offset " + offset, () -> {
-                listener.onLoaded(loaded);
+                listener.onLoaded(loaded, end);
                 listener.onRead(new TopicReading(sentMillis, false));
             });
             read();
--- a/edge/src/main/java/org/ragwortpitch/edge/control/TopicListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/TopicListener.java
@@ -10,8 +10,10 @@
 
     /**
      * Called with the newest record of every key, which replace all earlier records.
+     *
+     * @param endOffset the offset of the first record after the load
      */
-    void onLoaded(List<KeyedRecord> records);
+    void onLoaded(List<KeyedRecord> records, long endOffset);
 
     /**
      * Called with newer records, in order.
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -9,6 +10,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Locale;
+import java.util.function.IntSupplier;
 import org.ragwortpitch.deployment.Route;
 import org.ragwortpitch.response.ResponseOrigin;
 
@@ -128,6 +130,19 @@
         deploymentVersion.set(inForce);
     }
 
+    /**
+     * Reports the number of evacuated failure domains from now on.
+     *
+     * @param count called with each scrape
+     */
+    public void countEvacuatedDomains(IntSupplier count) {
+        GaugeWithCallback.builder()
+                .name("ragwortpitch_evacuated_domains")
+                .help("Failure domains that this daemon knows to be evacuated")
+                .callback(callback -> callback.call(count.getAsInt()))
+                .register(registry);
+    }
+
     /**
      * Returns all metrics in the Prometheus text format.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -17,8 +17,10 @@
 import org.ragwortpitch.deployment.EngineSpec;
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.edge.control.EndpointReading;
+import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.health.EndpointNotices;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.logging.Event;
@@ -33,11 +35,16 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** Shortest Retry-After of a request whose pool has endpoints in evacuated domains only, in milliseconds. */
+    private static final long EVACUATED_RETRY_MILLIS = 1_000;
+
     private final EndpointPermits permits;
     private final Consumer<String> onAddressRemoved;
     private final boolean firstStart;
     private final Map<PoolId, ListedVersions> versions = new HashMap<>();
     private final EndpointNotices notices = new EndpointNotices();
+    private final EvacuatedDomains evacuated = new EvacuatedDomains();
+    private final Map<FailureDomain, Long> coldUntilMillis = new HashMap<>();
     private Map<EndpointId, EndpointState> states = new HashMap<>();
     private Map<String, EndpointState> statesByAddress = Map.of();
 
@@ -86,6 +93,47 @@
         states = next;
         statesByAddress = next.values().stream()
                 .collect(Collectors.toMap(state -> state.endpoint().address(), state -> state, (one, other) -> other));
+        evacuated.check(deployment, states.values());
+        evacuated.drainCancelled().forEach(this::recordColdDomain);
+    }
+
+    /**
+     * Applies evacuations of failure domains that the store or another daemon has reported.
+     *
+     * @param source who reported them, for the log
+     */
+    public void apply(Evacuations reported, String source, long nowMillis) {
+        if (evacuated.update(reported, source, nowMillis)) {
+            evacuated.drainCancelled().forEach(this::recordColdDomain);
+        }
+    }
+
+    /**
+     * Records until when the endpoints of a failure domain are to be paced like cold ones.
+     */
+    void recordColdDomain(FailureDomain domain, long untilMillis) {
+        coldUntilMillis.merge(domain, untilMillis, Math::max);
+    }
+
+    /**
+     * Returns until when the endpoints of a failure domain are to be paced like cold ones; 0 if they are not.
+     */
+    long coldUntilMillis(FailureDomain domain) {
+        return coldUntilMillis.getOrDefault(domain, 0L);
+    }
+
+    /**
+     * Returns the evacuations that are obeyed.
+     */
+    public Evacuations evacuations() {
+        return evacuated.current();
+    }
+
+    /**
+     * Returns the reason that a refusal adds if evacuated domains have endpoints of the pool; empty if none has.
+     */
+    String evacuationNote(PoolId pool) {
+        return evacuated.describe(pool, states.values());
     }
 
     /**
@@ -141,8 +189,8 @@
     }
 
     /**
-     * Returns the endpoints of a pool that are not leaving, not resting and not at their rate limit, whatever their
-     * health.
+     * Returns the endpoints of a pool that are not leaving, not evacuated, not resting and not at their rate limit,
+     * whatever their health.
      */
     List<EndpointState> available(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
         return notLeaving(pool, excluded).stream()
@@ -157,6 +205,13 @@
         return notices.restMillis(state.endpoint().incarnation(), nowMillis) > 0;
     }
 
+    /**
+     * Returns whether this daemon may call an endpoint now: it wants to be called, and is not in an evacuated domain.
+     */
+    boolean mayCall(EndpointState state, long nowMillis) {
+        return !isResting(state, nowMillis) && !evacuated.isEvacuated(state);
+    }
+
     /**
      * Returns the endpoints that want nothing of this daemon now.
      */
@@ -176,7 +231,8 @@
 
     /**
      * Returns the Retry-After of a request for which the pool has no endpoint: the time until the first of them takes
-     * requests again if all rest, otherwise that in which they together take another one under their rate limits.
+     * requests again if all rest, otherwise that in which they together take another one under their rate limits. It is
+     * at least a second if all are in evacuated domains, as operators take longer to cancel an evacuation.
      *
      * @param minMillis returned if no endpoint rests or has a limit, and at least, in milliseconds
      */
@@ -190,16 +246,18 @@
                 .mapToDouble(state -> state.pacer().limit().orElse(0))
                 .sum();
         long limitMillis = perSecond == 0 ? 0 : (long) (MILLIS_PER_SECOND / perSecond);
-        return Math.max(minMillis, Math.max(restMillis, limitMillis));
+        long evacuatedMillis = staying.isEmpty() && !evacuationNote(pool).isEmpty() ? EVACUATED_RETRY_MILLIS : 0;
+        return Math.max(Math.max(minMillis, evacuatedMillis), Math.max(restMillis, limitMillis));
     }
 
     /**
-     * Returns the endpoints of a pool that are not leaving, whatever their health.
+     * Returns the endpoints of a pool that are not leaving and not in an evacuated domain, whatever their health.
      */
     List<EndpointState> notLeaving(PoolId pool, Set<EndpointId> excluded) {
         return states.values().stream()
                 .filter(state -> state.endpoint().pool().equals(pool)
                         && !state.endpoint().leaving()
+                        && !evacuated.isEvacuated(state)
                         && !excluded.contains(state.endpoint().id()))
                 .toList();
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -38,6 +38,13 @@
                         .toList());
     }
 
+    /**
+     * Returns what else the pool has, for the reason of a refusal.
+     */
+    String describeOthers(Set<EndpointId> tried) {
+        return "other engines: " + endpoints.notLeaving(pool, tried).size() + endpoints.evacuationNote(pool);
+    }
+
     /**
      * Returns whether the pool has a decode engine of a version that stays, whatever its health and load.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
@@ -40,11 +40,11 @@
      * Refuses the request as no engine can decode it now.
      *
      * @param goneVersion      the software version at which its stream has to go on, if no engine of it is left
-     * @param others           how many engines of the pool the request was not sent to
+     * @param others           what is known of the other engines of the pool
      * @param retryAfterMillis when another engine may be found, in milliseconds
      */
     void refuseForLackOfEngines(
-            boolean mayHaveExecuted, Optional<SoftwareVersion> goneVersion, int others, long retryAfterMillis) {
+            boolean mayHaveExecuted, Optional<SoftwareVersion> goneVersion, String others, long retryAfterMillis) {
         if (goneVersion.isPresent()) {
             exchange.failOrRefuse(
                     mayHaveExecuted,
@@ -52,7 +52,7 @@
                     "no engine of software version " + goneVersion.get() + ", which began the stream, is left: begin it"
                             + " anew");
         } else {
-            exchange.failOrRefuse(mayHaveExecuted, retryAfterMillis, "no engine can decode; other engines: " + others);
+            exchange.failOrRefuse(mayHaveExecuted, retryAfterMillis, "no engine can decode; " + others);
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -83,7 +83,7 @@
         this.log = new GenerationLog(
                 exchange.attemptId(), event -> context.retryBudgets().describe(event, pool, now()));
         this.kvCache = new TransferredKvCache(
-                caller, exchange.attemptId(), engine -> context.endpoints().isResting(engine, now()));
+                caller, exchange.attemptId(), engine -> context.endpoints().mayCall(engine, now()));
         CallerPatience patience = CallerPatience.of(exchange.route());
         this.checks = new GenerationChecks(exchange, patience);
         this.stallDetector = new StallDetector(context, patience.stallMillis(), this::onStall);
@@ -118,7 +118,7 @@
             checks.refuseForLackOfEngines(
                     executions > 0,
                     resumption.version().filter(version -> !engines.hasDecoder(version)),
-                    context.endpoints().notLeaving(pool, tried).size(),
+                    engines.describeOthers(tried),
                     context.endpoints().retryAfterMillis(pool, GenerationChecks.RETRY_AFTER_MILLIS, now));
             return;
         }
@@ -197,9 +197,9 @@
         }
         EngineState decodeEngine = placement.decodeEngine();
         EndpointState state = context.endpoints().find(decodeEngine.endpoint().id());
-        if (state == null || state.endpoint().leaving() || context.endpoints().isResting(state, now)) {
+        if (state == null || state.endpoint().leaving() || !context.endpoints().mayCall(state, now)) {
             tried.add(decodeEngine.endpoint().id());
-            transferOrRetry("the decode engine is leaving or asked for rest");
+            transferOrRetry("the decode engine is leaving, asked for rest or was evacuated");
             return;
         }
         int uncached = kvCache.isAvailable() ? 1 : EngineEstimate.uncachedTokens(decodeEngine, generation);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -137,6 +137,7 @@
                 .forEach(endpoint -> gossip.addLeavingEndpoints(LeavingEndpoint.newBuilder()
                         .setEndpoint(endpoint.endpoint().value())
                         .setBornMillis(endpoint.startMillis())));
+        gossip.addAllEvacuations(EvacuationCodec.encode(context.endpoints().evacuations()));
         long nowMillis = context.clockMillis().getAsLong();
         context.poisonRequests()
                 .crashesChangedSince(toldSinceMillis(steps, nowMillis), nowMillis)
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -150,7 +150,9 @@
                     tried.isEmpty()
                             ? "no endpoint of the pool is available: none is listed, or all are leaving, asked for"
                                     + " rest or are at the rate limit that they state; retry later"
-                            : "every available endpoint of the pool was already tried");
+                                    + context.endpoints().evacuationNote(pool)
+                            : "every available endpoint of the pool was already tried"
+                                    + context.endpoints().evacuationNote(pool));
             return;
         }
         EndpointState target = choice.get();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TransferredKvCache.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TransferredKvCache.java
@@ -17,19 +17,19 @@
 
     private final BufferingHttpCaller caller;
     private final String attemptId;
-    private final Predicate<EndpointState> isResting;
+    private final Predicate<EndpointState> mayCall;
     private EndpointState engine;
     private String handle = "";
 
     /**
      * Creates a cache that does not exist yet.
      *
-     * @param isResting returns whether an engine wants nothing of this daemon now
+     * @param mayCall returns whether this daemon may call an engine now
      */
-    TransferredKvCache(BufferingHttpCaller caller, String attemptId, Predicate<EndpointState> isResting) {
+    TransferredKvCache(BufferingHttpCaller caller, String attemptId, Predicate<EndpointState> mayCall) {
         this.caller = caller;
         this.attemptId = attemptId;
-        this.isResting = isResting;
+        this.mayCall = mayCall;
     }
 
     void recordPrefill(EndpointState prefillEngine, String newHandle) {
@@ -57,7 +57,7 @@
 
     /**
      * Asks the prefill engine to free the KV cache unless it was taken over; a failure is only logged. An engine that
-     * wants nothing now frees it by itself after a while.
+     * wants nothing now, or is in an evacuated domain, frees it by itself after a while.
      */
     void free() {
         if (!isAvailable()) {
@@ -65,7 +65,7 @@
         }
         String freed = handle;
         handle = "";
-        if (isResting.test(engine)) {
+        if (!mayCall.test(engine)) {
             return;
         }
         caller.call(
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/evacuation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Failure domains that operators have evacuated, so that their endpoints get no requests.
+ */
+package org.ragwortpitch.evacuation;
--- a/policy/src/main/java/org/ragwortpitch/scaling/FleetPlanner.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/FleetPlanner.java
@@ -20,6 +20,24 @@
 
     private FleetPlanner() {}
 
+    /**
+     * Plans the number of engines in each failure domain that is not evacuated; those of the others carry no load, so
+     * their share is planned in the remaining domains.
+     *
+     * @param evacuated the evacuated failure domains, for which nothing is planned
+     */
+    public static Map<FailureDomain, DomainFleet> plan(
+            ScalingSpec spec,
+            int wanted,
+            Map<FailureDomain, DomainFleet> present,
+            Set<FailureDomain> unavailable,
+            Set<FailureDomain> evacuated,
+            boolean serving) {
+        Map<FailureDomain, DomainFleet> serviceable = new HashMap<>(present);
+        serviceable.keySet().removeAll(evacuated);
+        return serviceable.isEmpty() ? Map.of() : plan(spec, wanted, serviceable, unavailable, serving);
+    }
+
     /**
      * Plans the number of engines in each failure domain.
      *
