--- a/edge/src/test/java/org/ragwortpitch/edge/control/EngineRoleAssignerTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/control/EngineRoleAssignerTest.java
@@ -37,12 +37,12 @@
         loops.close();
     }
 
-    private static Endpoint engine(String address) {
+    private static Endpoint engine(String address, String domain) {
         return new Endpoint(
-                new EndpointId("i-1"),
+                new EndpointId("i-" + domain),
                 POOL,
                 address,
-                new FailureDomain("a"),
+                new FailureDomain(domain),
                 64,
                 false,
                 EndpointRole.PREFILL,
@@ -61,11 +61,29 @@
             EngineRoleAssigner assigner =
                     new EngineRoleAssigner(caller, new InstanceId("front-1"), TestEventLoop.CLOCK_MILLIS);
             EngineSpec spec = new EngineSpec(64, 500_000, 1, 1, 1, 60_000);
-            loops.loop().execute(() -> assigner.step(1, POOL, spec, List.of(engine(peer.address())), Set.of(), 1));
+            List<Endpoint> engines = List.of(engine(peer.address(), "a"));
+            loops.loop().execute(() -> assigner.step(1, POOL, spec, engines, Set.of(), Set.of(), 1));
             TestDaemons.await(() -> peer.requests().size() == 2);
             assertTrue(peer.requests().get(0).startsWith("GET /report"));
             assertTrue(peer.requests().get(1).startsWith("POST /order"));
             assertEquals(2, peer.connections());
         }
     }
+
+    /** Guards against calls to engines of an evacuated domain, and against a pool whose only decode engine is there. */
+    @Test
+    void testEnginesOfAnEvacuatedDomainGetNoOrdersAndCountForNoRole() throws Exception {
+        try (ScriptedPeer evacuated = new ScriptedPeer(REPORT, ACCEPTED);
+                ScriptedPeer serving = new ScriptedPeer(REPORT, ACCEPTED)) {
+            ConnectionPool pool = new ConnectionPool(loops.loop(), 500, TestEventLoop.CLOCK_MILLIS);
+            EngineRoleAssigner assigner = new EngineRoleAssigner(
+                    new BufferingHttpCaller(loops.loop(), pool), new InstanceId("front-1"), TestEventLoop.CLOCK_MILLIS);
+            EngineSpec spec = new EngineSpec(64, 500_000, 1, 1, 1, 60_000);
+            List<Endpoint> engines = List.of(engine(evacuated.address(), "a"), engine(serving.address(), "b"));
+            Set<FailureDomain> domains = Set.of(new FailureDomain("a"));
+            loops.loop().execute(() -> assigner.step(1, POOL, spec, engines, Set.of(), domains, 1));
+            TestDaemons.await(() -> serving.requests().size() == 2);
+            assertEquals(0, evacuated.connections());
+        }
+    }
 }
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinEndpoint.java
@@ -69,6 +69,7 @@
     private volatile String crashPath = "";
     private volatile long startMillis = 1;
     private volatile String version = "v1";
+    private volatile String domain = "a";
     private volatile String eventData = "x";
     private volatile int failureStatus = 500;
 
@@ -90,6 +91,14 @@
         modes = () -> newMode;
     }
 
+    /**
+     * Sets the failure domain that its entries name from now on.
+     */
+    public StandinEndpoint in(String newDomain) {
+        domain = newDomain;
+        return this;
+    }
+
     /**
      * Draws a mode for each request from now on.
      */
@@ -263,7 +272,7 @@
      */
     public void list(StandinStore store, int port, String pool, String stage, String state, String otherId) {
         String entry = "{\"Service\":\"" + pool + "\",\"Address\":\"127.0.0.1:" + port
-                + "\",\"Version\":\"" + version + "\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"" + state
+                + "\",\"Version\":\"" + version + "\",\"Zone\":\"" + domain + "\",\"Slots\":6,\"State\":\"" + state
                 + "\",\"Stage\":\"" + stage
                 + "\",\"Sequence\":1,\"born\":" + startMillis + "}";
         store.put("keyed.servers", "servers/" + otherId, entry);
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -32,6 +32,9 @@
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.edge.peer.StoreContact;
+import org.ragwortpitch.evacuation.EvacuationOrder;
+import org.ragwortpitch.evacuation.Evacuations;
+import org.ragwortpitch.evacuation.StorePosition;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
@@ -264,6 +267,38 @@
         assertTrue(started.state().endpoint().leaving());
     }
 
+    /** Guards against daemons that are cut off from the store and keep using, or not using, an evacuated domain. */
+    @Test
+    void testEvacuationAndItsCancellationReachAllDaemonsAndNewOnes() {
+        FailureDomain domain = new FailureDomain("a");
+        Member told = members.get("a2");
+        Evacuations evacuated = Evacuations.NONE.load(new StorePosition(1, 4), List.of(order(domain, 3, true)));
+        told.endpoints.apply(evacuated, "store", nowMillis);
+        advance(SECOND_MILLIS);
+        members.forEach((name, member) ->
+                assertEquals(Set.of(domain), member.endpoints.evacuations().domains(), name));
+        told.endpoints.apply(evacuated.with(order(domain, 9, false)), "store", nowMillis);
+        advance(SECOND_MILLIS);
+        members.forEach((name, member) ->
+                assertEquals(Set.of(), member.endpoints.evacuations().domains(), name));
+        members.get("b1").endpoints.apply(evacuated, "late", nowMillis);
+        told.endpoints.apply(evacuated.with(order(domain, 12, true)), "store", nowMillis);
+        Member started = new Member("b2");
+        members.put("b2", started);
+        started.applyListing();
+        advance(4 * SECOND_MILLIS);
+        assertEquals(Set.of(domain), started.endpoints.evacuations().domains());
+        assertEquals(
+                List.of(),
+                started.endpoints.usable(POOL, Set.of(), nowMillis).stream()
+                        .filter(state -> state.endpoint().domain().equals(domain))
+                        .toList());
+    }
+
+    private static EvacuationOrder order(FailureDomain domain, long offset, boolean active) {
+        return new EvacuationOrder(domain, new StorePosition(1, offset), active);
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
--- a/policy/src/test/java/org/ragwortpitch/scaling/FleetPlannerTest.java
+++ b/policy/src/test/java/org/ragwortpitch/scaling/FleetPlannerTest.java
@@ -90,6 +90,19 @@
         assertEquals(0, plan.values().stream().mapToInt(DomainFleet::spot).sum());
     }
 
+    /** Guards against engines ordered where they get no requests, and against too few in the other domains. */
+    @Test
+    void testShareOfAnEvacuatedDomainIsPlannedInTheOthersUntilItIsCancelled() {
+        Map<FailureDomain, DomainFleet> present = new HashMap<>(inEachDomain(0, 3));
+        present.put(A, new DomainFleet(0, 6));
+        var evacuated = FleetPlanner.plan(SPEC, 12, present, Set.of(), Set.of(A), true);
+        assertEquals(Map.of(B, new DomainFleet(1, 5), C, new DomainFleet(0, 6)), evacuated);
+        present.putAll(evacuated);
+        var cancelled = FleetPlanner.plan(SPEC, 12, present, Set.of(), Set.of(), true);
+        assertEquals(Map.of(A, new DomainFleet(0, 4), B, new DomainFleet(1, 3), C, new DomainFleet(0, 4)), cancelled);
+        assertEquals(Map.of(), FleetPlanner.plan(SPEC, 12, present, Set.of(), Set.of(A, B, C), true));
+    }
+
     @Property(tries = 500)
     void testPlanStaysWithinLimits(
             @ForAll @IntRange(min = 0, max = 40) int engines,
