Count the age of a daemon from its own gossip in the directory

Cause: a digest tells that a daemon was heard, and each receiver counted its age from the receipt, so that each hop added to the time for which a killed daemon was named. Change: digests carry the age, PeerView subtracts it, and the directory leaves out daemons whose latest gossip is older than ContactMs + 1 s. Whether a daemon counts as reachable still goes by the receipt.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -159,8 +159,8 @@
         storeUpdates = new StoreUpdates(
                 trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
         ready = listen(settings.readyAddress(), query -> readiness());
-        AddressDirectory addresses = new AddressDirectory(
-                peers, self, this::status, table::pools, () -> bounds.maxTtlSeconds(), clockMillis);
+        AddressDirectory addresses =
+                new AddressDirectory(peers, self, this::status, table::pools, () -> bounds, clockMillis);
         directory = listen(settings.directoryAddress(), addresses::answer);
         listen(
                 settings.ip() + ":" + metricsPort,
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/AddressDirectory.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/AddressDirectory.java
@@ -4,10 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.ragwortpitch.adapter.DirectoryCodec;
+import org.ragwortpitch.adapter.InstanceSettings;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
@@ -19,7 +19,7 @@
  *
  * @param status        what this daemon tells the others about its service to callers
  * @param poolsInUse    the pools that have endpoints
- * @param maxTtlSeconds the longest time for which callers may cache an answer
+ * @param bounds        the limits that the system has to meet
  * @param clockMillis   the monotonic clock, in milliseconds
  */
 public record AddressDirectory(
@@ -27,7 +27,7 @@
         Daemon self,
         Supplier<PeerStatus> status,
         Supplier<Set<PoolId>> poolsInUse,
-        DoubleSupplier maxTtlSeconds,
+        Supplier<InstanceSettings.Bounds> bounds,
         LongSupplier clockMillis) {
 
     /** Most addresses in a directory answer; a caller has no use for more. */
@@ -42,6 +42,12 @@
      */
     private static final double TTL_SECONDS = 2;
 
+    /**
+     * Age of a daemon's latest gossip beyond the time for contact, in milliseconds, up to which it is named: a daemon
+     * that was killed is named for at most three seconds beyond that time, of which gossip on its way takes up to two.
+     */
+    private static final long MAX_AGE_BEYOND_CONTACT_MILLIS = 1_000;
+
     private static final int UNAVAILABLE = 503;
 
     /**
@@ -49,7 +55,10 @@
      */
     private List<Daemon> takingRequests(FailureDomain preferred) {
         Set<PoolId> pools = poolsInUse.get();
-        List<Daemon> ready = new ArrayList<>(peers.ready(preferred, clockMillis.getAsLong()));
+        long now = clockMillis.getAsLong();
+        long maxAgeMillis = bounds.get().contactMillis() + MAX_AGE_BEYOND_CONTACT_MILLIS;
+        List<Daemon> ready = new ArrayList<>(peers.ready(preferred, now));
+        ready.removeIf(daemon -> peers.ageMillis(daemon.id(), now) > maxAgeMillis);
         List<Daemon> inContact = new ArrayList<>(ready);
         inContact.removeIf(daemon -> peers.status(daemon).isCutOff(pools));
         PeerStatus own = status.get();
@@ -79,6 +88,6 @@
         List<String> addresses =
                 chosen.stream().limit(MAX_ADDRESSES).map(Daemon::frontAddress).toList();
         return SmallAnswer.json(
-                DirectoryCodec.encodeResponse(addresses, Math.min(maxTtlSeconds.getAsDouble(), TTL_SECONDS)));
+                DirectoryCodec.encodeResponse(addresses, Math.min(bounds.get().maxTtlSeconds(), TTL_SECONDS)));
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -119,19 +119,41 @@
         if (before != null && isOutdated(startMillis, sequence, nowMillis, before)) {
             return false;
         }
-        lastSeen.put(peer, new LastSeen(startMillis, sequence, status, nowMillis));
+        lastSeen.put(peer, new LastSeen(startMillis, sequence, status, nowMillis, nowMillis));
         return true;
     }
 
     /**
-     * Records that a daemon of another failure domain is reachable there; ignored for direct peers.
+     * Records that a daemon of another failure domain is reachable there; ignored for direct peers. The status counts
+     * unless a newer one is known.
+     *
+     * @param ageMillis the time since the relay heard from the daemon, in milliseconds; negative ones count as 0
      */
-    public void recordRelayedState(InstanceId peer, PeerStatus status, long nowMillis) {
+    public void recordRelayedState(InstanceId peer, PeerStatus status, long ageMillis, long nowMillis) {
+        long heardMillis = nowMillis - Math.max(0, ageMillis);
+        LastSeen before = lastSeen.get(peer);
+        boolean newest = before == null || before.heardMillis() <= heardMillis;
         if (!isDirect(peer)) {
-            lastSeen.put(peer, new LastSeen(0, 0, status, nowMillis));
+            lastSeen.put(
+                    peer,
+                    new LastSeen(
+                            0,
+                            0,
+                            newest ? status : before.status(),
+                            nowMillis,
+                            newest ? heardMillis : before.heardMillis()));
         }
     }
 
+    /**
+     * Returns the time since a daemon last gossiped, to this one or to the relay that told of it, in milliseconds;
+     * {@link Long#MAX_VALUE} if nothing was heard of it.
+     */
+    public long ageMillis(InstanceId peer, long nowMillis) {
+        LastSeen last = lastSeen.get(peer);
+        return last == null ? Long.MAX_VALUE : nowMillis - last.heardMillis();
+    }
+
     /**
      * Returns the schedule of gossip to direct peers.
      */
@@ -329,6 +351,9 @@
 
     /**
      * State and time of the last gossip about a daemon.
+     *
+     * @param atMillis    when this daemon received it
+     * @param heardMillis when this daemon, or the relay that told of it, received it from the daemon itself
      */
-    private record LastSeen(long startMillis, long sequence, PeerStatus status, long atMillis) {}
+    private record LastSeen(long startMillis, long sequence, PeerStatus status, long atMillis, long heardMillis) {}
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -103,7 +103,8 @@
                         .setReady(status.ready())
                         .setProxyPort(status.proxyPort())
                         .setStoreReachable(status.store().reachable())
-                        .addAllUnreachablePools(status.unreachablePoolNames())));
+                        .addAllUnreachablePools(status.unreachablePoolNames())
+                        .setAgeMillis(context.peers().ageMillis(peer, nowMillis))));
         avoided.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         context.accounts()
                 .forEachSpentInDomain((account, tokens) -> gossip.addSpends(
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -200,15 +200,15 @@
                         relaySender(relay), gossip.getBornMillis(), gossip.getSequence(), PeerStatus.of(true), now)) {
             return;
         }
-        peers.recordRelayedState(domain, PeerStatus.of(true), now);
-        peers.recordRelayedState(relay, status(gossip), now);
+        peers.recordRelayedState(domain, PeerStatus.of(true), 0, now);
+        peers.recordRelayedState(relay, status(gossip), 0, now);
         for (HeardDaemon relayed : gossip.getHeardList()) {
             PeerStatus status = PeerStatus.decode(
                     relayed.getReady(),
                     relayed.getProxyPort(),
                     relayed.getUnreachablePoolsList(),
                     new StoreContact(relayed.getStoreReachable(), 0));
-            peers.recordRelayedState(new InstanceId(relayed.getInstance()), status, now);
+            peers.recordRelayedState(new InstanceId(relayed.getInstance()), status, relayed.getAgeMillis(), now);
         }
         context.agreed()
                 .recordReading(
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -299,6 +299,20 @@
         return new EvacuationOrder(domain, new StorePosition(1, offset), active);
     }
 
+    /** Guards against a directory that names a killed daemon, as each hop of gossip counts its age anew. */
+    @Test
+    void testAgeOfAKilledDaemonCountsFromItsOwnLastGossip() {
+        long killedMillis = nowMillis;
+        Member killed = members.remove("a2");
+        for (int step = 0; step < 100; step++) {
+            advance(GossipRound.STEP_MILLIS);
+            for (Member member : members.values()) {
+                long ageMillis = member.peers.ageMillis(killed.self.id(), nowMillis);
+                assertTrue(ageMillis >= nowMillis - killedMillis, member.self + " takes it for " + ageMillis);
+            }
+        }
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
