Keep requests and prompts in the home regions of route and account

Cause: routes and accounts may list the regions that may serve their requests; nothing obeyed them. Change: package homes decides which failure domains may serve a request and which daemons may get its body. Endpoint selection, repeats, transfers of KV caches and requests passed to other daemons stay in them; a refusal says so. For a host of which all routes have homes, the directory names daemons of the caller's region and of the homes. PeerViewTest passes the domains of proxies.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -52,6 +52,7 @@
 import org.ragwortpitch.edge.traffic.ProxyPeers;
 import org.ragwortpitch.edge.traffic.RetryBudgets;
 import org.ragwortpitch.edge.traffic.TrafficContext;
+import org.ragwortpitch.homes.Regions;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.logging.Event;
@@ -158,9 +159,18 @@
         gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced, this::onDeploymentAnnounced);
         storeUpdates = new StoreUpdates(
                 trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
-        ready = listen(settings.readyAddress(), query -> readiness());
-        AddressDirectory addresses =
-                new AddressDirectory(peers, self, this::status, table::pools, () -> bounds, clockMillis);
+        ready = listen(
+                settings.readyAddress(),
+                query -> isReady() ? SmallAnswer.text(OK, "ready\n") : SmallAnswer.text(UNAVAILABLE, "not ready\n"));
+        AddressDirectory addresses = new AddressDirectory(
+                peers,
+                self,
+                new Regions(settings.regions()),
+                gateway::homesOfHost,
+                this::status,
+                table::pools,
+                () -> bounds,
+                clockMillis);
         directory = listen(settings.directoryAddress(), addresses::answer);
         listen(
                 settings.ip() + ":" + metricsPort,
@@ -227,6 +237,7 @@
                 clockMillis,
                 this::medianMillis,
                 settings.domain(),
+                new Regions(settings.regions()),
                 connections,
                 table,
                 contacts,
@@ -237,7 +248,7 @@
                 demands,
                 poison,
                 origins,
-                this::readEndpointsSoon,
+                () -> controlLoop.execute(() -> control.readEndpointsSoon()),
                 metrics);
     }
 
@@ -245,10 +256,6 @@
         return new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis, observer, responses);
     }
 
-    private void readEndpointsSoon() {
-        controlLoop.execute(() -> control.readEndpointsSoon());
-    }
-
     private Control control() {
         ConnectionPool connections = new ConnectionPool(controlLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
         return new Control(
@@ -369,10 +376,6 @@
                 && gateway.deployment().isPresent();
     }
 
-    private SmallAnswer readiness() {
-        return isReady() ? SmallAnswer.text(OK, "ready\n") : SmallAnswer.text(UNAVAILABLE, "not ready\n");
-    }
-
     private void recordUsage(SortedMap<Long, Map<AccountId, Long>> counts) {
         if (!counts.isEmpty()) {
             controlLoop.execute(() -> control.recordUsage(counts));
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/AddressDirectory.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/AddressDirectory.java
@@ -3,7 +3,9 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.ragwortpitch.adapter.DirectoryCodec;
@@ -11,12 +13,16 @@
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.homes.Regions;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.Region;
 
 /**
  * Tells callers the addresses of daemons that take requests, those of their own failure domain if there are enough.
  *
+ * @param regions       the region of each failure domain
+ * @param homesOfHost   the regions that may serve requests to a host; none if not all of its routes have homes
  * @param status        what this daemon tells the others about its service to callers
  * @param poolsInUse    the pools that have endpoints
  * @param bounds        the limits that the system has to meet
@@ -25,6 +31,8 @@
 public record AddressDirectory(
         PeerView peers,
         Daemon self,
+        Regions regions,
+        Function<String, Set<Region>> homesOfHost,
         Supplier<PeerStatus> status,
         Supplier<Set<PoolId>> poolsInUse,
         Supplier<InstanceSettings.Bounds> bounds,
@@ -48,6 +56,9 @@
      */
     private static final long MAX_AGE_BEYOND_CONTACT_MILLIS = 1_000;
 
+    /** Query parameter with the host that the caller wants to reach. */
+    private static final String HOST_FIELD = "Name";
+
     private static final int UNAVAILABLE = 503;
 
     /**
@@ -71,13 +82,27 @@
         return inContact.isEmpty() ? ready : inContact;
     }
 
+    /**
+     * Returns the daemons in the region of the caller and in the homes of a host, which hardly pass its requests on, or
+     * all if there are none or the host has no homes.
+     */
+    private List<Daemon> nearHomes(List<Daemon> daemons, String host, FailureDomain caller) {
+        Set<Region> homes = homesOfHost.apply(host.toLowerCase(Locale.ROOT));
+        List<Daemon> near = daemons.stream()
+                .filter(daemon -> regions.isSame(daemon.domain(), caller)
+                        || regions.of(daemon.domain()).filter(homes::contains).isPresent())
+                .toList();
+        return homes.isEmpty() || near.isEmpty() ? daemons : near;
+    }
+
     /**
      * Answers a look-up.
      */
     public SmallAnswer answer(QueryStringDecoder query) {
         List<String> domains = query.parameters().getOrDefault(DirectoryCodec.DOMAIN_FIELD, List.of(""));
         FailureDomain domain = new FailureDomain(domains.get(0));
-        List<Daemon> takingRequests = takingRequests(domain);
+        List<String> hosts = query.parameters().getOrDefault(HOST_FIELD, List.of(""));
+        List<Daemon> takingRequests = nearHomes(takingRequests(domain), hosts.get(0), domain);
         List<Daemon> sameDomain = takingRequests.stream()
                 .filter(daemon -> daemon.domain().equals(domain))
                 .toList();
--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -322,11 +323,13 @@
     /**
      * Returns the daemons that take requests which this one can't serve, and reach endpoints of their pool.
      *
-     * @param passed returns how many requests of this daemon a daemon is handling
+     * @param domains the failure domains whose daemons may get the request
+     * @param passed  returns how many requests of this daemon a daemon is handling
      */
-    public List<ProxyPeer> proxies(PoolId pool, ToIntFunction<InstanceId> passed, long nowMillis) {
+    public List<ProxyPeer> proxies(
+            PoolId pool, Predicate<FailureDomain> domains, ToIntFunction<InstanceId> passed, long nowMillis) {
         return reachable(nowMillis)
-                .filter(daemon -> status(daemon).proxies(pool))
+                .filter(daemon -> status(daemon).proxies(pool) && domains.test(daemon.domain()))
                 .map(daemon -> new ProxyPeer(
                         daemon.id(),
                         host(daemon.peerAddress()) + ":" + status(daemon).proxyPort(),
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
@@ -147,7 +147,7 @@
     }
 
     private void advance(PoolId pool, boolean waiting, long now) {
-        List<EndpointState> staying = endpoints.get().notLeaving(pool, Set.of()).stream()
+        List<EndpointState> staying = endpoints.get().notLeaving(pool, EndpointScope.ALL).stream()
                 .sorted(Comparator.comparing(state -> !state.health().isUsable(now)))
                 .toList();
         Map<EndpointId, String> addresses = staying.stream()
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -176,10 +176,10 @@
      * Returns the endpoints of a pool that can get requests: those that are healthy, not avoided and not settling, or
      * all available ones if there are none.
      *
-     * @param excluded endpoints that the request has already tried
+     * @param scope the endpoints that the request may be sent to
      */
-    List<EndpointState> usable(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
-        List<EndpointState> staying = available(pool, excluded, nowMillis);
+    List<EndpointState> usable(PoolId pool, EndpointScope scope, long nowMillis) {
+        List<EndpointState> staying = available(pool, scope, nowMillis);
         List<EndpointState> healthy = staying.stream()
                 .filter(state -> state.health().isUsable(nowMillis)
                         && !state.isAvoided(nowMillis)
@@ -192,8 +192,8 @@
      * Returns the endpoints of a pool that are not leaving, not evacuated, not resting and not at their rate limit,
      * whatever their health.
      */
-    List<EndpointState> available(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
-        return notLeaving(pool, excluded).stream()
+    List<EndpointState> available(PoolId pool, EndpointScope scope, long nowMillis) {
+        return notLeaving(pool, scope).stream()
                 .filter(state -> !isResting(state, nowMillis) && permits.isOpen(state))
                 .toList();
     }
@@ -237,7 +237,7 @@
      * @param minMillis returned if no endpoint rests or has a limit, and at least, in milliseconds
      */
     long retryAfterMillis(PoolId pool, long minMillis, long nowMillis) {
-        List<EndpointState> staying = notLeaving(pool, Set.of());
+        List<EndpointState> staying = notLeaving(pool, EndpointScope.ALL);
         long restMillis = staying.stream()
                 .mapToLong(state -> notices.restMillis(state.endpoint().incarnation(), nowMillis))
                 .min()
@@ -253,12 +253,12 @@
     /**
      * Returns the endpoints of a pool that are not leaving and not in an evacuated domain, whatever their health.
      */
-    List<EndpointState> notLeaving(PoolId pool, Set<EndpointId> excluded) {
+    List<EndpointState> notLeaving(PoolId pool, EndpointScope scope) {
         return states.values().stream()
                 .filter(state -> state.endpoint().pool().equals(pool)
                         && !state.endpoint().leaving()
                         && !evacuated.isEvacuated(state)
-                        && !excluded.contains(state.endpoint().id()))
+                        && scope.includes(state.endpoint()))
                 .toList();
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -4,9 +4,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Generation;
+import org.ragwortpitch.homes.Homes;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.placement.EngineChooser;
@@ -15,8 +18,17 @@
 /**
  * Selects engines of a pool for one generation among those that it has not tried: usable ones, or else any available
  * one. Confined to the traffic thread.
+ *
+ * @param homes   the regions that may serve the generation
+ * @param domains the failure domains in those regions
  */
-record EngineSelector(EndpointTable endpoints, EngineChooser chooser, PoolId pool, Generation generation) {
+record EngineSelector(
+        EndpointTable endpoints,
+        EngineChooser chooser,
+        PoolId pool,
+        Generation generation,
+        Homes homes,
+        Predicate<FailureDomain> domains) {
 
     /**
      * Returns the engines with the lowest cost; empty if none can decode.
@@ -25,8 +37,8 @@
      * @param tried   engines that the generation was sent to
      */
     Optional<Placement> place(Optional<SoftwareVersion> version, Set<EndpointId> tried, long nowMillis) {
-        return choose(version, endpoints.usable(pool, tried, nowMillis))
-                .or(() -> choose(version, endpoints.available(pool, tried, nowMillis)));
+        return choose(version, endpoints.usable(pool, scope(tried), nowMillis))
+                .or(() -> choose(version, endpoints.available(pool, scope(tried), nowMillis)));
     }
 
     private Optional<Placement> choose(Optional<SoftwareVersion> version, List<EndpointState> candidates) {
@@ -42,14 +54,15 @@
      * Returns what else the pool has, for the reason of a refusal.
      */
     String describeOthers(Set<EndpointId> tried) {
-        return "other engines: " + endpoints.notLeaving(pool, tried).size() + endpoints.evacuationNote(pool);
+        return "other engines: " + endpoints.notLeaving(pool, scope(tried)).size() + endpoints.evacuationNote(pool)
+                + homes.describe();
     }
 
     /**
      * Returns whether the pool has a decode engine of a version that stays, whatever its health and load.
      */
     boolean hasDecoder(SoftwareVersion version) {
-        return endpoints.notLeaving(pool, Set.of()).stream()
+        return endpoints.notLeaving(pool, scope(Set.of())).stream()
                 .anyMatch(state -> isDecoder(state) && hasVersion(state, Optional.of(version)));
     }
 
@@ -61,8 +74,12 @@
      */
     Optional<EndpointState> leastLoadedDecoder(
             Optional<SoftwareVersion> version, Set<EndpointId> tried, long nowMillis) {
-        return leastLoadedDecoder(version, endpoints.usable(pool, tried, nowMillis))
-                .or(() -> leastLoadedDecoder(version, endpoints.available(pool, tried, nowMillis)));
+        return leastLoadedDecoder(version, endpoints.usable(pool, scope(tried), nowMillis))
+                .or(() -> leastLoadedDecoder(version, endpoints.available(pool, scope(tried), nowMillis)));
+    }
+
+    private EndpointScope scope(Set<EndpointId> tried) {
+        return new EndpointScope(tried, domains);
     }
 
     private static boolean isDecoder(EndpointState state) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.EngineCodec;
 import org.ragwortpitch.adapter.Headers;
@@ -24,7 +25,9 @@
 import org.ragwortpitch.edge.front.RequestHandler;
 import org.ragwortpitch.edge.http.BufferingHttpCaller;
 import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.homes.Homes;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.Region;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.placement.EngineChooser;
 
@@ -89,6 +92,13 @@
         return Optional.ofNullable(deployment);
     }
 
+    /**
+     * Returns all regions that may serve requests to a host; empty if not all of its routes have homes.
+     */
+    public Set<Region> homesOfHost(String host) {
+        return deployment == null ? Set.of() : deployment.homesOfHost(host);
+    }
+
     /**
      * Returns the limits on requests of callers; defaults until a configuration is loaded.
      */
@@ -191,10 +201,11 @@
         }
         PoolId pool = route.choosePool(attemptId.hashCode());
         boolean lost = context.contacts().isLost(pool);
-        ServingPlan plan =
-                ServingPlan.of(lost, hop.isPresent(), lost && context.proxies().isAvailable(pool));
+        Homes homes = Homes.of(route, account);
+        boolean passable = lost && context.proxies().isAvailable(pool, context.daemonDomains(homes));
+        ServingPlan plan = ServingPlan.of(lost, hop.isPresent(), passable);
         if (plan == ServingPlan.NOBODY) {
-            return refuseOutOfReach(attemptId, response, pool, hop.isPresent());
+            return refuseOutOfReach(attemptId, response, pool, homes, hop.isPresent());
         }
         boolean charged =
                 plan == ServingPlan.BY_PEER || hop.map(ProxyHop::charged).orElse(false);
@@ -267,7 +278,8 @@
                 : refuse(attemptId, response, UNAVAILABLE, DRAIN_RETRY_MILLIS, "daemon is stopping: use another one");
     }
 
-    private Cancellation refuseOutOfReach(String attemptId, CallerResponse response, PoolId pool, boolean passedOn) {
+    private Cancellation refuseOutOfReach(
+            String attemptId, CallerResponse response, PoolId pool, Homes homes, boolean passedOn) {
         if (passedOn) {
             return decline(attemptId, response, "this daemon reaches no endpoint of pool " + pool + " either");
         }
@@ -276,7 +288,7 @@
                 response,
                 UNAVAILABLE,
                 ProxiedRun.RETRY_AFTER_MILLIS,
-                "no daemon in reach has contact with an endpoint of pool " + pool + ": retry later");
+                "no daemon in reach has contact with an endpoint of pool " + pool + ": retry later" + homes.describe());
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -71,7 +71,7 @@
             Generation generation,
             ProxyFallback fallback) {
         this.context = context;
-        this.engines = new EngineSelector(context.endpoints(), chooser, pool, generation);
+        this.engines = context.engines(chooser, pool, generation, exchange);
         this.exchange = exchange;
         this.pool = pool;
         this.generation = generation;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxiedRun.java
@@ -19,6 +19,7 @@
 import org.ragwortpitch.edge.http.OutboundRequest;
 import org.ragwortpitch.edge.http.ResponseBody;
 import org.ragwortpitch.edge.http.ResponseListener;
+import org.ragwortpitch.homes.Homes;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
@@ -104,14 +105,21 @@
     }
 
     private void passOn() {
+        Homes homes = Homes.of(exchange.route(), exchange.account());
         Optional<ProxyPeer> choice = asked.size() < MAX_PEERS
-                ? context.proxies().choose(pool, asked, exchange.attemptId().hashCode())
+                ? context.proxies()
+                        .choose(
+                                pool,
+                                context.daemonDomains(homes),
+                                asked,
+                                exchange.attemptId().hashCode())
                 : Optional.empty();
         if (choice.isEmpty()) {
             exchange.failOrRefuse(
                     hop.executions() > 0,
                     RETRY_AFTER_MILLIS,
-                    "no daemon in reach has contact with an endpoint of pool " + pool + ": retry later");
+                    "no daemon in reach has contact with an endpoint of pool " + pool + ": retry later"
+                            + homes.describe());
             return;
         }
         peer = choice.get();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxyFallback.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxyFallback.java
@@ -1,8 +1,11 @@
 package org.ragwortpitch.edge.traffic;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.ragwortpitch.deployment.RequestKind;
 import org.ragwortpitch.edge.http.Cancellation;
+import org.ragwortpitch.homes.Homes;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
 
@@ -64,7 +67,7 @@
                 || exchange.hop().isPresent()
                 || !mayRunAfter(executions)
                 || exchange.remainingMillis(now) <= 0
-                || !context.proxies().isAvailable(pool)
+                || !context.proxies().isAvailable(pool, daemonDomains())
                 || !exchange.sends().tryReserve(1, false, now)) {
             return Optional.empty();
         }
@@ -73,6 +76,10 @@
         return Optional.of(ProxiedRun.start(context, exchange, pool, hop, sequence));
     }
 
+    private Predicate<FailureDomain> daemonDomains() {
+        return context.daemonDomains(Homes.of(exchange.route(), exchange.account()));
+    }
+
     private boolean mayRunAfter(int executions) {
         boolean repeatable =
                 exchange.route().kind() == RequestKind.SAFE || exchange.route().resumable();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxyPeers.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ProxyPeers.java
@@ -5,9 +5,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.ragwortpitch.contact.ProxyPeer;
 import org.ragwortpitch.edge.http.ConnectionPool;
 import org.ragwortpitch.edge.peer.PeerView;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 
@@ -39,24 +41,27 @@
     }
 
     /**
-     * Returns whether a daemon takes requests for a pool.
+     * Returns whether a daemon takes a request for a pool.
+     *
+     * @param domains the failure domains whose daemons may get it
      */
-    boolean isAvailable(PoolId pool) {
-        return choose(pool, Set.of(), 0).isPresent();
+    boolean isAvailable(PoolId pool, Predicate<FailureDomain> domains) {
+        return choose(pool, domains, Set.of(), 0).isPresent();
     }
 
     /**
      * Returns the daemon that gets a request.
      *
+     * @param domains  the failure domains whose daemons may get it
      * @param excluded daemons that have declined the request
      * @param seed     differs between requests
      */
-    Optional<ProxyPeer> choose(PoolId pool, Set<InstanceId> excluded, int seed) {
+    Optional<ProxyPeer> choose(PoolId pool, Predicate<FailureDomain> domains, Set<InstanceId> excluded, int seed) {
         if (total >= MAX_PASSED) {
             return Optional.empty();
         }
         return ProxyPeer.choose(
-                peers.proxies(pool, id -> passed.getOrDefault(id, 0), clockMillis.getAsLong()).stream()
+                peers.proxies(pool, domains, id -> passed.getOrDefault(id, 0), clockMillis.getAsLong()).stream()
                         .filter(peer -> !excluded.contains(peer.id()))
                         .toList(),
                 seed);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -17,6 +17,7 @@
 import org.ragwortpitch.edge.http.OutboundSend;
 import org.ragwortpitch.edge.http.ResponseBody;
 import org.ragwortpitch.edge.http.ResponseListener;
+import org.ragwortpitch.homes.Homes;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.logging.Event;
@@ -63,6 +64,8 @@
     private final PoolId pool;
     private final ProxyFallback fallback;
     private final Set<EndpointId> tried = new HashSet<>();
+    private final Homes homes;
+    private final EndpointScope scope;
     private int sends;
     private boolean passedOn;
     private int executions;
@@ -80,6 +83,8 @@
         this.pool = pool;
         this.fallback = fallback;
         this.executions = fallback.earlierExecutions();
+        this.homes = Homes.of(exchange.route(), exchange.account());
+        this.scope = new EndpointScope(tried, context.regions().endpointDomains(homes));
     }
 
     void start() {
@@ -147,12 +152,12 @@
             exchange.failOrRefuse(
                     executions > 0,
                     context.endpoints().retryAfterMillis(pool, RETRY_AFTER_MILLIS, now),
-                    tried.isEmpty()
-                            ? "no endpoint of the pool is available: none is listed, or all are leaving, asked for"
-                                    + " rest or are at the rate limit that they state; retry later"
-                                    + context.endpoints().evacuationNote(pool)
-                            : "every available endpoint of the pool was already tried"
-                                    + context.endpoints().evacuationNote(pool));
+                    (tried.isEmpty()
+                                    ? "no endpoint of the pool is available: none is listed, or all are leaving, asked for"
+                                            + " rest or are at the rate limit that they state; retry later"
+                                    : "every available endpoint of the pool was already tried")
+                            + context.endpoints().evacuationNote(pool)
+                            + homes.describe());
             return;
         }
         EndpointState target = choice.get();
@@ -179,7 +184,7 @@
     }
 
     private Optional<EndpointState> choose(long now) {
-        List<EndpointState> usable = context.endpoints().usable(pool, tried, now);
+        List<EndpointState> usable = context.endpoints().usable(pool, scope, now);
         return usable.stream().min(Comparator.comparingDouble(this::load));
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
@@ -2,10 +2,16 @@
 
 import io.netty.channel.EventLoop;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.ConnectionPool;
+import org.ragwortpitch.homes.Homes;
+import org.ragwortpitch.homes.Regions;
 import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.WindowCounts;
+import org.ragwortpitch.placement.EngineChooser;
 import org.ragwortpitch.resumption.StreamOrigins;
 
 /**
@@ -15,6 +21,7 @@
  * @param clockMillis the monotonic clock, in milliseconds
  * @param wallMillis  the wall clock that the majority of daemons agrees on, in milliseconds since 1970
  * @param domain      this daemon's failure domain
+ * @param regions     the region of each failure domain
  * @param readEndpointsSoon has the endpoints' list read ahead of schedule
  */
 public record TrafficContext(
@@ -22,6 +29,7 @@
         LongSupplier clockMillis,
         LongSupplier wallMillis,
         FailureDomain domain,
+        Regions regions,
         ConnectionPool connections,
         EndpointTable endpoints,
         EndpointContacts contacts,
@@ -33,4 +41,20 @@
         PoisonRequests poisonRequests,
         StreamOrigins origins,
         Runnable readEndpointsSoon,
-        EdgeMetrics metrics) {}
+        EdgeMetrics metrics) {
+
+    /**
+     * Returns what selects engines for a generation.
+     */
+    EngineSelector engines(EngineChooser chooser, PoolId pool, Generation generation, Exchange exchange) {
+        Homes homes = Homes.of(exchange.route(), exchange.account());
+        return new EngineSelector(endpoints, chooser, pool, generation, homes, regions.endpointDomains(homes));
+    }
+
+    /**
+     * Returns the failure domains whose daemons may get a request that this daemon got from its caller.
+     */
+    Predicate<FailureDomain> daemonDomains(Homes homes) {
+        return regions.daemonDomains(homes, domain);
+    }
+}
--- a/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/peer/PeerViewTest.java
@@ -70,14 +70,26 @@
         listBoth();
         view.recordGossip(A, 1, 1, new PeerStatus(true, 7_600, Set.of(), StoreContact.NONE), 0);
         view.recordGossip(B, 1, 1, new PeerStatus(true, 7_600, Set.of(pool), StoreContact.NONE), 0);
-        assertEquals(List.of(new ProxyPeer(A, "10.0.0.1:7600", false, 2)), view.proxies(pool, id -> 2, 0));
-        assertEquals(2, view.proxies(new PoolId("app"), id -> 0, 0).size());
+        assertEquals(
+                List.of(new ProxyPeer(A, "10.0.0.1:7600", false, 2)), view.proxies(pool, domain -> true, id -> 2, 0));
+        assertEquals(
+                2, view.proxies(new PoolId("app"), domain -> true, id -> 0, 0).size());
+        assertEquals(
+                1, view.proxies(new PoolId("app"), NEAR::equals, id -> 0, 0).size());
         view.recordGossip(A, 1, 2, PeerStatus.of(true), 1);
-        assertEquals(List.of(), view.proxies(pool, id -> 0, 1), "a daemon of an earlier version has no port");
+        assertEquals(
+                List.of(),
+                view.proxies(pool, domain -> true, id -> 0, 1),
+                "a daemon of an earlier version has no port");
         view.recordGossip(A, 1, 3, new PeerStatus(false, 7_600, Set.of(), StoreContact.NONE), 2);
-        assertEquals(List.of(), view.proxies(pool, id -> 0, 2), "a daemon that stops");
-        assertEquals(1, view.proxies(new PoolId("app"), id -> 0, 1_500).size());
-        assertEquals(0, view.proxies(new PoolId("app"), id -> 0, 1_503).size(), "a silent daemon");
+        assertEquals(List.of(), view.proxies(pool, domain -> true, id -> 0, 2), "a daemon that stops");
+        assertEquals(
+                1,
+                view.proxies(new PoolId("app"), domain -> true, id -> 0, 1_500).size());
+        assertEquals(
+                0,
+                view.proxies(new PoolId("app"), domain -> true, id -> 0, 1_503).size(),
+                "a silent daemon");
     }
 
     @Test
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
@@ -27,6 +27,13 @@
         return of(instance, storeAddress, bounds(0.2, 50, 2_000, 5_000), true);
     }
 
+    /**
+     * Returns settings of a daemon in a failure domain: a is in region r, b in r2 and c in r3.
+     */
+    public static InstanceSettings in(String domain, String instance, String storeAddress) {
+        return of(domain, instance, storeAddress, bounds(0.2, 50, 2_000, 5_000), true);
+    }
+
     /**
      * Returns settings under which a silent connection to the store may stay unnoticed for a while.
      */
@@ -76,10 +83,21 @@
 
     private static InstanceSettings of(
             String instance, String storeAddress, InstanceSettings.Bounds bounds, boolean firstStart) {
+        return of("a", instance, storeAddress, bounds, firstStart);
+    }
+
+    private static InstanceSettings of(
+            String domain, String instance, String storeAddress, InstanceSettings.Bounds bounds, boolean firstStart) {
         return new InstanceSettings(
                 new InstanceId(instance),
-                new FailureDomain("a"),
-                Map.of(new FailureDomain("a"), new Region("r")),
+                new FailureDomain(domain),
+                Map.of(
+                        new FailureDomain("a"),
+                        new Region("r"),
+                        new FailureDomain("b"),
+                        new Region("r2"),
+                        new FailureDomain("c"),
+                        new Region("r3")),
                 "127.0.0.1",
                 ANY_PORT,
                 ANY_PORT,
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -59,6 +59,13 @@
         return start(Settings.at(instance, storeAddress));
     }
 
+    /**
+     * Starts a daemon in a failure domain, and waits until it is ready.
+     */
+    public Edge startIn(String domain, String instance) throws Exception {
+        return start(Settings.in(domain, instance, store.address()));
+    }
+
     /**
      * Starts a daemon that may notice a silent connection to the store late, and waits until it is ready.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -290,7 +290,7 @@
         assertEquals(Set.of(domain), started.endpoints.evacuations().domains());
         assertEquals(
                 List.of(),
-                started.endpoints.usable(POOL, Set.of(), nowMillis).stream()
+                started.endpoints.usable(POOL, EndpointScope.ALL, nowMillis).stream()
                         .filter(state -> state.endpoint().domain().equals(domain))
                         .toList());
     }
--- a/policy/src/main/java/org/ragwortpitch/deployment/Deployment.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/Deployment.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.Region;
 
 /**
  * One version of the deployment's configuration. Immutable.
@@ -56,6 +58,13 @@
         return routes.find(host, path);
     }
 
+    /**
+     * Returns all regions that may serve requests to a host; empty if not all of its routes have homes.
+     */
+    public Set<Region> homesOfHost(String host) {
+        return routes.homes(host);
+    }
+
     /**
      * Returns a pool, or empty if it is unknown.
      */
--- a/policy/src/main/java/org/ragwortpitch/deployment/RouteTable.java
+++ b/policy/src/main/java/org/ragwortpitch/deployment/RouteTable.java
@@ -1,9 +1,13 @@
 package org.ragwortpitch.deployment;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.ragwortpitch.identity.Region;
 
 /**
  * Finds routes by host and longest path prefix, with one lookup per slash in the path.
@@ -20,6 +24,18 @@
                 byHost.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.pathPrefix(), route));
     }
 
+    /**
+     * Returns all regions that may serve requests to a host; empty if a route of it has no homes, or none has the host.
+     *
+     * @param host the host, in lower case and without a port
+     */
+    public Set<Region> homes(String host) {
+        Collection<Route> routes = byHost.getOrDefault(host, Map.of()).values();
+        return routes.stream().anyMatch(route -> route.homes().isEmpty())
+                ? Set.of()
+                : routes.stream().flatMap(route -> route.homes().stream()).collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Returns the route with the longest matching prefix, or empty if none matches.
      *
--- /dev/null
+++ b/policy/src/main/java/org/ragwortpitch/homes/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The regions that may serve a request, as its route and its account say.
+ */
+package org.ragwortpitch.homes;
