--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -162,22 +162,19 @@
         ready = listen(
                 settings.readyAddress(),
                 query -> isReady() ? SmallAnswer.text(OK, "ready\n") : SmallAnswer.text(UNAVAILABLE, "not ready\n"));
-        AddressDirectory addresses = new AddressDirectory(
-                peers,
-                self,
-                new Regions(settings.regions()),
-                gateway::homesOfHost,
-                this::status,
-                table::pools,
-                () -> bounds,
-                clockMillis);
-        directory = listen(settings.directoryAddress(), addresses::answer);
+        directory = listen(settings.directoryAddress(), addresses()::answer);
         listen(
                 settings.ip() + ":" + metricsPort,
                 query -> new SmallAnswer(OK, "text/plain; charset=utf-8", metrics.scrape()));
         control = control();
     }
 
+    private AddressDirectory addresses() {
+        Regions regions = new Regions(settings.regions());
+        return new AddressDirectory(
+                peers, self, regions, gateway::homesOfHost, this::status, table::pools, () -> bounds, clockMillis);
+    }
+
     private FrontServer frontServer(InetSocketAddress address, Supplier<CallerLimits> limits, RequestHandler handler) {
         return closer.add(new FrontServer(trafficLoop, address, limits, handler, clockMillis));
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -74,19 +74,19 @@
             EndpointState known = states.get(endpoint.id());
             Optional<EngineSpec> spec = deployment.pool(endpoint.pool()).flatMap(Pool::engine);
             if (known != null && known.endpoint().isSameIncarnation(endpoint)) {
-                logChange(known.endpoint(), endpoint);
+                EndpointEvents.logChange(known.endpoint(), endpoint);
                 known.updateEndpoint(endpoint);
                 known.configure(spec);
                 next.put(endpoint.id(), known);
             } else {
-                event("endpoint-listed", endpoint).info(LOGGER);
+                EndpointEvents.logListed(endpoint);
                 next.put(endpoint.id(), new EndpointState(endpoint, spec, listedMillis));
             }
         }
         states.forEach((id, state) -> {
             EndpointState now = next.get(id);
             if (now == null || now != state) {
-                event("endpoint-gone", state.endpoint()).info(LOGGER);
+                EndpointEvents.logGone(state.endpoint());
                 onAddressRemoved.accept(state.endpoint().address());
             }
         });
@@ -363,25 +363,6 @@
         return states.get(id);
     }
 
-    private static void logChange(Endpoint before, Endpoint now) {
-        if (before.leaving() != now.leaving() || before.role() != now.role()) {
-            event("endpoint-changed", now).info(LOGGER);
-        }
-    }
-
-    private static Event event(String name, Endpoint endpoint) {
-        return Event.of(name)
-                .with("endpoint", endpoint.id())
-                .with("pool", endpoint.pool())
-                .with("address", endpoint.address())
-                .with("domain", endpoint.domain())
-                .with("role", endpoint.role())
-                .with("leaving", endpoint.leaving())
-                .with("reclaimable", endpoint.reclaimable())
-                .with("born", endpoint.startMillis())
-                .with("version", endpoint.version());
-    }
-
     @Override
     public String toString() {
         return states.keySet().stream().map(EndpointId::value).collect(Collectors.joining(","));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -149,15 +149,14 @@
         }
         Optional<EndpointState> choice = choose(now);
         if (choice.isEmpty()) {
+            String reason = tried.isEmpty()
+                    ? "no endpoint of the pool is available: none is listed, or all are leaving, asked for"
+                            + " rest or are at the rate limit that they state; retry later"
+                    : "every available endpoint of the pool was already tried";
             exchange.failOrRefuse(
                     executions > 0,
                     context.endpoints().retryAfterMillis(pool, RETRY_AFTER_MILLIS, now),
-                    (tried.isEmpty()
-                                    ? "no endpoint of the pool is available: none is listed, or all are leaving, asked for"
-                                            + " rest or are at the rate limit that they state; retry later"
-                                    : "every available endpoint of the pool was already tried")
-                            + context.endpoints().evacuationNote(pool)
-                            + homes.describe());
+                    reason + context.endpoints().evacuationNote(pool) + homes.describe());
             return;
         }
         EndpointState target = choice.get();
--- a/policy/src/main/java/org/ragwortpitch/homes/Homes.java
+++ b/policy/src/main/java/org/ragwortpitch/homes/Homes.java
@@ -58,7 +58,7 @@
             return "";
         }
         if (regions.get().isEmpty()) {
-            return "; no region may serve the request, as the homes of its route and of its account have none in common";
+            return "; no region may serve the request, as the homes of its route and its account have none in common";
         }
         return "; only endpoints in the home regions of its route and account may serve the request: "
                 + regions.get().stream().map(Region::value).sorted().collect(Collectors.joining(","));
--- a/policy/src/main/java/org/ragwortpitch/homes/Regions.java
+++ b/policy/src/main/java/org/ragwortpitch/homes/Regions.java
@@ -37,7 +37,7 @@
      * Returns the failure domains whose endpoints may serve a request.
      */
     public Predicate<FailureDomain> endpointDomains(Homes homes) {
-        return domain -> homes.allows(of(domain));
+        return homes.equals(Homes.ANY) ? domain -> true : domain -> homes.allows(of(domain));
     }
 
     /**
--- a/policy/src/test/java/org/ragwortpitch/evacuation/EvacuationsHistoryTest.java
+++ b/policy/src/test/java/org/ragwortpitch/evacuation/EvacuationsHistoryTest.java
@@ -17,9 +17,9 @@
 import org.ragwortpitch.identity.FailureDomain;
 
 /**
- * Tests evacuations over random histories: gossip that is lost, late or repeated, daemons that start anew or are cut off
- * from the store, and a store that comes back from an older copy. Guards against a daemon that obeys an evacuation which
- * was cancelled, or misses one in force.
+ * Tests evacuations over random histories: gossip that is lost, late or repeated, daemons that start anew or are cut
+ * off from the store, and a store that comes back from an older copy. Guards against a daemon that obeys an evacuation
+ * which was cancelled, or misses one in force.
  */
 class EvacuationsHistoryTest {
 
