--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -52,6 +52,7 @@
 import org.ragwortpitch.edge.traffic.ProxyPeers;
 import org.ragwortpitch.edge.traffic.RetryBudgets;
 import org.ragwortpitch.edge.traffic.TrafficContext;
+import org.ragwortpitch.homes.Regions;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.logging.Event;
@@ -141,6 +142,7 @@
         EndpointPermits permits = new EndpointPermits(
                 settings.instance(), () -> peers.daemons(clockMillis.getAsLong()), this::medianMillis);
         table = new EndpointTable(permits, settings.firstStart(), connections::closeIdle);
+        metrics.countEvacuatedDomains(() -> table.evacuations().domains().size());
         RetryShares shares = new RetryShares(settings.firstStart(), createdMillis);
         retryBudgets = new RetryBudgets(bounds, shares, peers::fleetSize, metrics::recordBudgetDenial);
         gateway = new Gateway(trafficContext(), new BufferingHttpCaller(trafficLoop, connections));
@@ -155,17 +157,24 @@
                 ConnectionPool.hostAndPort(front.address()),
                 ConnectionPool.hostAndPort(socket.address()));
         gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced, this::onDeploymentAnnounced);
-        storeUpdates = newStoreUpdates();
-        ready = listen(settings.readyAddress(), query -> readiness());
-        AddressDirectory addresses = new AddressDirectory(
-                peers, self, this::status, table::pools, () -> bounds.maxTtlSeconds(), clockMillis);
-        directory = listen(settings.directoryAddress(), addresses::answer);
+        storeUpdates = new StoreUpdates(
+                trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
+        ready = listen(
+                settings.readyAddress(),
+                query -> isReady() ? SmallAnswer.text(OK, "ready\n") : SmallAnswer.text(UNAVAILABLE, "not ready\n"));
+        directory = listen(settings.directoryAddress(), addresses()::answer);
         listen(
                 settings.ip() + ":" + metricsPort,
                 query -> new SmallAnswer(OK, "text/plain; charset=utf-8", metrics.scrape()));
         control = control();
     }
 
+    private AddressDirectory addresses() {
+        Regions regions = new Regions(settings.regions());
+        return new AddressDirectory(
+                peers, self, regions, gateway::homesOfHost, this::status, table::pools, () -> bounds, clockMillis);
+    }
+
     private FrontServer frontServer(InetSocketAddress address, Supplier<CallerLimits> limits, RequestHandler handler) {
         return closer.add(new FrontServer(trafficLoop, address, limits, handler, clockMillis));
     }
@@ -221,17 +230,13 @@
                 wallMillis);
     }
 
-    private StoreUpdates newStoreUpdates() {
-        return new StoreUpdates(
-                trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
-    }
-
     private TrafficContext trafficContext() {
         return new TrafficContext(
                 trafficLoop,
                 clockMillis,
                 this::medianMillis,
                 settings.domain(),
+                new Regions(settings.regions()),
                 connections,
                 table,
                 contacts,
@@ -242,7 +247,7 @@
                 demands,
                 poison,
                 origins,
-                this::readEndpointsSoon,
+                () -> controlLoop.execute(() -> control.readEndpointsSoon()),
                 metrics);
     }
 
@@ -250,10 +255,6 @@
         return new ConnectionPool(trafficLoop, CONNECT_TIMEOUT_MILLIS, clockMillis, observer, responses);
     }
 
-    private void readEndpointsSoon() {
-        controlLoop.execute(() -> control.readEndpointsSoon());
-    }
-
     private Control control() {
         ConnectionPool connections = new ConnectionPool(controlLoop, CONNECT_TIMEOUT_MILLIS, clockMillis);
         return new Control(
@@ -374,10 +375,6 @@
                 && gateway.deployment().isPresent();
     }
 
-    private SmallAnswer readiness() {
-        return isReady() ? SmallAnswer.text(OK, "ready\n") : SmallAnswer.text(UNAVAILABLE, "not ready\n");
-    }
-
     private void recordUsage(SortedMap<Long, Map<AccountId, Long>> counts) {
         if (!counts.isEmpty()) {
             controlLoop.execute(() -> control.recordUsage(counts));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -17,8 +17,10 @@
 import org.ragwortpitch.deployment.EngineSpec;
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.edge.control.EndpointReading;
+import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.health.EndpointNotices;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.logging.Event;
@@ -33,11 +35,16 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** Shortest Retry-After of a request whose pool has endpoints in evacuated domains only, in milliseconds. */
+    private static final long EVACUATED_RETRY_MILLIS = 1_000;
+
     private final EndpointPermits permits;
     private final Consumer<String> onAddressRemoved;
     private final boolean firstStart;
     private final Map<PoolId, ListedVersions> versions = new HashMap<>();
     private final EndpointNotices notices = new EndpointNotices();
+    private final EvacuatedDomains evacuated = new EvacuatedDomains();
+    private final Map<FailureDomain, Long> coldUntilMillis = new HashMap<>();
     private Map<EndpointId, EndpointState> states = new HashMap<>();
     private Map<String, EndpointState> statesByAddress = Map.of();
 
@@ -67,25 +74,66 @@
             EndpointState known = states.get(endpoint.id());
             Optional<EngineSpec> spec = deployment.pool(endpoint.pool()).flatMap(Pool::engine);
             if (known != null && known.endpoint().isSameIncarnation(endpoint)) {
-                logChange(known.endpoint(), endpoint);
+                EndpointEvents.logChange(known.endpoint(), endpoint);
                 known.updateEndpoint(endpoint);
                 known.configure(spec);
                 next.put(endpoint.id(), known);
             } else {
-                event("endpoint-listed", endpoint).info(LOGGER);
+                EndpointEvents.logListed(endpoint);
                 next.put(endpoint.id(), new EndpointState(endpoint, spec, listedMillis));
             }
         }
         states.forEach((id, state) -> {
             EndpointState now = next.get(id);
             if (now == null || now != state) {
-                event("endpoint-gone", state.endpoint()).info(LOGGER);
+                EndpointEvents.logGone(state.endpoint());
                 onAddressRemoved.accept(state.endpoint().address());
             }
         });
         states = next;
         statesByAddress = next.values().stream()
                 .collect(Collectors.toMap(state -> state.endpoint().address(), state -> state, (one, other) -> other));
+        evacuated.check(deployment, states.values());
+        evacuated.drainCancelled().forEach(this::recordColdDomain);
+    }
+
+    /**
+     * Applies evacuations of failure domains that the store or another daemon has reported.
+     *
+     * @param source who reported them, for the log
+     */
+    public void apply(Evacuations reported, String source, long nowMillis) {
+        if (evacuated.update(reported, source, nowMillis)) {
+            evacuated.drainCancelled().forEach(this::recordColdDomain);
+        }
+    }
+
+    /**
+     * Records until when the endpoints of a failure domain are to be paced like cold ones.
+     */
+    void recordColdDomain(FailureDomain domain, long untilMillis) {
+        coldUntilMillis.merge(domain, untilMillis, Math::max);
+    }
+
+    /**
+     * Returns until when the endpoints of a failure domain are to be paced like cold ones; 0 if they are not.
+     */
+    long coldUntilMillis(FailureDomain domain) {
+        return coldUntilMillis.getOrDefault(domain, 0L);
+    }
+
+    /**
+     * Returns the evacuations that are obeyed.
+     */
+    public Evacuations evacuations() {
+        return evacuated.current();
+    }
+
+    /**
+     * Returns the reason that a refusal adds if evacuated domains have endpoints of the pool; empty if none has.
+     */
+    String evacuationNote(PoolId pool) {
+        return evacuated.describe(pool, states.values());
     }
 
     /**
@@ -128,10 +176,10 @@
      * Returns the endpoints of a pool that can get requests: those that are healthy, not avoided and not settling, or
      * all available ones if there are none.
      *
-     * @param excluded endpoints that the request has already tried
+     * @param scope the endpoints that the request may be sent to
      */
-    List<EndpointState> usable(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
-        List<EndpointState> staying = available(pool, excluded, nowMillis);
+    List<EndpointState> usable(PoolId pool, EndpointScope scope, long nowMillis) {
+        List<EndpointState> staying = available(pool, scope, nowMillis);
         List<EndpointState> healthy = staying.stream()
                 .filter(state -> state.health().isUsable(nowMillis)
                         && !state.isAvoided(nowMillis)
@@ -141,11 +189,11 @@
     }
 
     /**
-     * Returns the endpoints of a pool that are not leaving, not resting and not at their rate limit, whatever their
-     * health.
+     * Returns the endpoints of a pool that are not leaving, not evacuated, not resting and not at their rate limit,
+     * whatever their health.
      */
-    List<EndpointState> available(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
-        return notLeaving(pool, excluded).stream()
+    List<EndpointState> available(PoolId pool, EndpointScope scope, long nowMillis) {
+        return notLeaving(pool, scope).stream()
                 .filter(state -> !isResting(state, nowMillis) && permits.isOpen(state))
                 .toList();
     }
@@ -157,6 +205,13 @@
         return notices.restMillis(state.endpoint().incarnation(), nowMillis) > 0;
     }
 
+    /**
+     * Returns whether this daemon may call an endpoint now: it wants to be called, and is not in an evacuated domain.
+     */
+    boolean mayCall(EndpointState state, long nowMillis) {
+        return !isResting(state, nowMillis) && !evacuated.isEvacuated(state);
+    }
+
     /**
      * Returns the endpoints that want nothing of this daemon now.
      */
@@ -176,12 +231,13 @@
 
     /**
      * Returns the Retry-After of a request for which the pool has no endpoint: the time until the first of them takes
-     * requests again if all rest, otherwise that in which they together take another one under their rate limits.
+     * requests again if all rest, otherwise that in which they together take another one under their rate limits. It is
+     * at least a second if all are in evacuated domains, as operators take longer to cancel an evacuation.
      *
      * @param minMillis returned if no endpoint rests or has a limit, and at least, in milliseconds
      */
     long retryAfterMillis(PoolId pool, long minMillis, long nowMillis) {
-        List<EndpointState> staying = notLeaving(pool, Set.of());
+        List<EndpointState> staying = notLeaving(pool, EndpointScope.ALL);
         long restMillis = staying.stream()
                 .mapToLong(state -> notices.restMillis(state.endpoint().incarnation(), nowMillis))
                 .min()
@@ -190,17 +246,19 @@
                 .mapToDouble(state -> state.pacer().limit().orElse(0))
                 .sum();
         long limitMillis = perSecond == 0 ? 0 : (long) (MILLIS_PER_SECOND / perSecond);
-        return Math.max(minMillis, Math.max(restMillis, limitMillis));
+        long evacuatedMillis = staying.isEmpty() && !evacuationNote(pool).isEmpty() ? EVACUATED_RETRY_MILLIS : 0;
+        return Math.max(Math.max(minMillis, evacuatedMillis), Math.max(restMillis, limitMillis));
     }
 
     /**
-     * Returns the endpoints of a pool that are not leaving, whatever their health.
+     * Returns the endpoints of a pool that are not leaving and not in an evacuated domain, whatever their health.
      */
-    List<EndpointState> notLeaving(PoolId pool, Set<EndpointId> excluded) {
+    List<EndpointState> notLeaving(PoolId pool, EndpointScope scope) {
         return states.values().stream()
                 .filter(state -> state.endpoint().pool().equals(pool)
                         && !state.endpoint().leaving()
-                        && !excluded.contains(state.endpoint().id()))
+                        && !evacuated.isEvacuated(state)
+                        && scope.includes(state.endpoint()))
                 .toList();
     }
 
@@ -305,25 +363,6 @@
         return states.get(id);
     }
 
-    private static void logChange(Endpoint before, Endpoint now) {
-        if (before.leaving() != now.leaving() || before.role() != now.role()) {
-            event("endpoint-changed", now).info(LOGGER);
-        }
-    }
-
-    private static Event event(String name, Endpoint endpoint) {
-        return Event.of(name)
-                .with("endpoint", endpoint.id())
-                .with("pool", endpoint.pool())
-                .with("address", endpoint.address())
-                .with("domain", endpoint.domain())
-                .with("role", endpoint.role())
-                .with("leaving", endpoint.leaving())
-                .with("reclaimable", endpoint.reclaimable())
-                .with("born", endpoint.startMillis())
-                .with("version", endpoint.version());
-    }
-
     @Override
     public String toString() {
         return states.keySet().stream().map(EndpointId::value).collect(Collectors.joining(","));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -103,7 +103,8 @@
                         .setReady(status.ready())
                         .setProxyPort(status.proxyPort())
                         .setStoreReachable(status.store().reachable())
-                        .addAllUnreachablePools(status.unreachablePoolNames())));
+                        .addAllUnreachablePools(status.unreachablePoolNames())
+                        .setAgeMillis(context.peers().ageMillis(peer, nowMillis))));
         avoided.forEach(endpoint -> gossip.addChanging(endpoint.value()));
         context.accounts()
                 .forEachSpentInDomain((account, tokens) -> gossip.addSpends(
@@ -137,6 +138,7 @@
                 .forEach(endpoint -> gossip.addLeavingEndpoints(LeavingEndpoint.newBuilder()
                         .setEndpoint(endpoint.endpoint().value())
                         .setBornMillis(endpoint.startMillis())));
+        gossip.addAllEvacuations(EvacuationCodec.encode(context.endpoints().evacuations()));
         long nowMillis = context.clockMillis().getAsLong();
         context.poisonRequests()
                 .crashesChangedSince(toldSinceMillis(steps, nowMillis), nowMillis)
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -123,9 +123,9 @@
             onDeploymentAnnounced.accept(announcedVersion);
         }
         long now = context.clockMillis().getAsLong();
-        // Crashes, limits, the origins of streams and endpoints that leave count whoever reports them, also before the
-        // list of daemons is
-        // read.
+        // Crashes, limits, the origins of streams, endpoints that leave and evacuations count whoever reports them,
+        // also
+        // before the list of daemons is read.
         gossip.getCrashedEndpointsList()
                 .forEach(crash -> context.poisonRequests().mergeCrash(EndpointCrashCodec.decode(crash, now), now));
         gossip.getBegunStreamsList().forEach(streams -> StreamOriginCodec.decode(streams, now)
@@ -134,6 +134,8 @@
                 .recordLeaving(
                         new EndpointIncarnation(new EndpointId(endpoint.getEndpoint()), endpoint.getBornMillis()),
                         now));
+        EvacuationCodec.decode(gossip.getEvacuationsList()).forEach(order -> context.endpoints()
+                .apply(context.endpoints().evacuations().with(order), "peer " + peer, now));
         boolean direct = gossip.getDigestOf().isEmpty() && peers.isDirect(peer);
         gossip.getLimitsList().forEach(limit -> receiveLimit(limit, direct, now));
         if (!gossip.getDigestOf().isEmpty()) {
@@ -198,15 +200,15 @@
                         relaySender(relay), gossip.getBornMillis(), gossip.getSequence(), PeerStatus.of(true), now)) {
             return;
         }
-        peers.recordRelayedState(domain, PeerStatus.of(true), now);
-        peers.recordRelayedState(relay, status(gossip), now);
+        peers.recordRelayedState(domain, PeerStatus.of(true), 0, now);
+        peers.recordRelayedState(relay, status(gossip), 0, now);
         for (HeardDaemon relayed : gossip.getHeardList()) {
             PeerStatus status = PeerStatus.decode(
                     relayed.getReady(),
                     relayed.getProxyPort(),
                     relayed.getUnreachablePoolsList(),
                     new StoreContact(relayed.getStoreReachable(), 0));
-            peers.recordRelayedState(new InstanceId(relayed.getInstance()), status, now);
+            peers.recordRelayedState(new InstanceId(relayed.getInstance()), status, relayed.getAgeMillis(), now);
         }
         context.agreed()
                 .recordReading(
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -32,6 +32,9 @@
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
 import org.ragwortpitch.edge.peer.StoreContact;
+import org.ragwortpitch.evacuation.EvacuationOrder;
+import org.ragwortpitch.evacuation.Evacuations;
+import org.ragwortpitch.evacuation.StorePosition;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
@@ -264,6 +267,27 @@
         assertTrue(started.state().endpoint().leaving());
     }
 
+    /** Guards against daemons that are cut off from the store and keep using an evacuated domain. */
+    @Test
+    void testEvacuationReachesAllDaemonsAndNewOnes() {
+        EvacuationOrder order = new EvacuationOrder(new FailureDomain("a"), new StorePosition(1, 3), true);
+        members.get("a2").endpoints.apply(Evacuations.NONE.with(order), "store", nowMillis);
+        members.put("b2", new Member("b2"));
+        advance(4 * SECOND_MILLIS);
+        members.forEach((name, member) ->
+                assertEquals(List.of(order), member.endpoints.evacuations().orders(), name));
+        assertEquals(List.of(), members.get("a1").endpoints.usable(POOL, EndpointScope.ALL, nowMillis));
+    }
+
+    /** Guards against a directory that names a killed daemon, as each hop of gossip counts its age anew. */
+    @Test
+    void testAgeOfAKilledDaemonCountsFromItsOwnLastGossip() {
+        InstanceId killed = members.remove("a2").self.id();
+        for (long millis = nowMillis; nowMillis < millis + 5 * SECOND_MILLIS; advance(GossipRound.STEP_MILLIS)) {
+            assertTrue(members.get("b1").peers.ageMillis(killed, nowMillis) >= nowMillis - millis);
+        }
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
