Pace cold endpoints over all daemons

Cause: an endpoint that has just started, or turned cold, gets requests like any other and crashes at rates above ColdPerS. Change: a cold endpoint is paced by the slots of stated rate limits, the lower rate holds, and a rate of 0 sends nothing. It is cold by its entry, any response, gossip, its first listing after this daemon's, or a mark on its failure domain (EndpointTable.recordColdDomain). A decode that was assigned before the engine turned cold, or over 300 ms ago, needs a slot again. A rise of the stated time is announced like a change of leaving. Refusals name the cause, and their Retry-After counts the rates and the end of the cold time. The pacer can lend slots; nothing calls that yet. Without ColdPerS nothing is paced, gossiped or logged. Tests changed: calls of EndpointPacer.isOpen and sent have one argument more, and GossiperTest builds its table with an EndpointPacing.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -42,6 +42,7 @@
 import org.ragwortpitch.edge.traffic.AccountRateLimits;
 import org.ragwortpitch.edge.traffic.EndpointContacts;
 import org.ragwortpitch.edge.traffic.EndpointCrashCodec;
+import org.ragwortpitch.edge.traffic.EndpointPacing;
 import org.ragwortpitch.edge.traffic.EndpointPermits;
 import org.ragwortpitch.edge.traffic.EndpointTable;
 import org.ragwortpitch.edge.traffic.Gateway;
@@ -140,7 +141,7 @@
         connections = connectionPool(contacts);
         EndpointPermits permits = new EndpointPermits(
                 settings.instance(), () -> peers.daemons(clockMillis.getAsLong()), this::medianMillis);
-        table = new EndpointTable(permits, settings.firstStart(), connections::closeIdle);
+        table = new EndpointTable(new EndpointPacing(permits, metrics), settings.firstStart(), connections::closeIdle);
         RetryShares shares = new RetryShares(settings.firstStart(), createdMillis);
         retryBudgets = new RetryBudgets(bounds, shares, peers::fleetSize, metrics::recordBudgetDenial);
         gateway = new Gateway(trafficContext(), new BufferingHttpCaller(trafficLoop, connections));
--- a/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
@@ -75,7 +75,10 @@
     public void onDeployment(Deployment deployment) {
         trafficLoop.execute(() -> {
             gateway.apply(deployment);
-            table.apply(endpoints, deployment, clockMillis.getAsLong());
+            if (endpointsKnown) {
+                // Before, an empty listing would make all endpoints of the first one look newly started.
+                table.apply(endpoints, deployment, clockMillis.getAsLong());
+            }
             metrics.setVersion(deployment.version());
         });
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/EndpointRegistry.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/EndpointRegistry.java
@@ -11,6 +11,7 @@
 import org.ragwortpitch.adapter.EndpointCodec;
 import org.ragwortpitch.adapter.KeyedRecord;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
@@ -31,6 +32,8 @@
     private final OddEntries oddEntries = new OddEntries("endpoint-unreadable", "endpoint");
     private final Set<EndpointId> missing = new HashSet<>();
     private Map<PoolId, Set<SoftwareVersion>> versionsSinceReading = new HashMap<>();
+    private Map<EndpointIncarnation, Long> coldMillisSinceReading = new HashMap<>();
+    private final Map<EndpointId, Long> offsets = new HashMap<>();
     private long changedOffset = -1;
 
     /**
@@ -74,7 +77,12 @@
             addVersion(versionsSinceReading, now);
             missing.remove(id);
             oddEntries.forget(entry.key());
-            if (before == null || !now.isRoutedLike(before)) {
+            Long offsetBefore = offsets.put(id, entry.offset());
+            boolean readBefore = before != null && Long.valueOf(entry.offset()).equals(offsetBefore);
+            if (now.coldMillis() > 0 && !readBefore) {
+                coldMillisSinceReading.put(now.incarnation(), now.coldMillis());
+            }
+            if (before == null || !now.isRoutedLike(before) || isColdAgain(before, now)) {
                 changedOffset = Math.max(changedOffset, entry.offset());
             }
         } catch (CodecException exception) {
@@ -83,21 +91,29 @@
             if (listed.remove(id) != null) {
                 changedOffset = Math.max(changedOffset, entry.offset());
             }
+            offsets.remove(id);
             missing.remove(id);
             oddEntries.report(entry, exception);
         }
     }
 
+    /** While an endpoint only warms up, its entries state less and less. */
+    private static boolean isColdAgain(Endpoint before, Endpoint now) {
+        return now.coldMillis() > Math.max(0, before.coldMillis());
+    }
+
     /**
-     * Returns what the reading whose entries have been applied shows of software versions. An engine that came and went
-     * between two readings may have begun streams.
+     * Returns what the reading whose entries have been applied shows of software versions and cold times. An engine
+     * that came and went between two readings may have begun streams.
      */
     EndpointReading reading(TopicReading reading) {
         Map<PoolId, Set<SoftwareVersion>> now = new HashMap<>();
         listed.values().forEach(endpoint -> addVersion(now, endpoint));
         Map<PoolId, Set<SoftwareVersion>> since = versionsSinceReading;
         versionsSinceReading = new HashMap<>();
-        return new EndpointReading(reading.sentMillis(), reading.continuous(), now, since);
+        Map<EndpointIncarnation, Long> coldMillis = coldMillisSinceReading;
+        coldMillisSinceReading = new HashMap<>();
+        return new EndpointReading(reading.sentMillis(), reading.continuous(), now, since, coldMillis);
     }
 
     private static void addVersion(Map<PoolId, Set<SoftwareVersion>> versions, Endpoint endpoint) {
@@ -113,7 +129,7 @@
         if (missing.isEmpty() || reachableMillis < RELIST_MILLIS) {
             return false;
         }
-        missing.forEach(listed::remove);
+        missing.forEach(this::drop);
         missing.clear();
         return true;
     }
@@ -123,6 +139,7 @@
      */
     void forgetOffsets() {
         changedOffset = -1;
+        offsets.clear();
     }
 
     /**
@@ -153,7 +170,12 @@
         if (reachableMillis < RELIST_MILLIS && listed.containsKey(id)) {
             missing.add(id);
         } else {
-            listed.remove(id);
+            drop(id);
         }
     }
+
+    private void drop(EndpointId id) {
+        listed.remove(id);
+        offsets.remove(id);
+    }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -57,6 +57,14 @@
             .help("Responses of endpoints that answer no pending request, by what their attempt id tells")
             .labelNames("origin")
             .register(registry);
+    private final Counter coldHeldOff = Counter.builder()
+            .name("ragwortpitch_cold_held_off_total")
+            .help("Searches for an endpoint in which a cold one could take no request of this daemon")
+            .register(registry);
+    private final Counter slotsLent = Counter.builder()
+            .name("ragwortpitch_cold_slots_lent_total")
+            .help("Slots of cold endpoints that this daemon left to another one")
+            .register(registry);
     private final Gauge deploymentVersion = Gauge.builder()
             .name("ragwortpitch_deployment_version")
             .help("The version of the configuration in force")
@@ -121,6 +129,20 @@
                 .inc();
     }
 
+    /**
+     * Counts a search for an endpoint in which a cold one could take no request of this daemon.
+     */
+    public void recordColdHeldOff() {
+        coldHeldOff.inc();
+    }
+
+    /**
+     * Counts a slot of a cold endpoint that this daemon left to another one.
+     */
+    public void recordSlotLent() {
+        slotsLent.inc();
+    }
+
     /**
      * Sets the version of the configuration that is in force.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointContacts.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.adapter.RetryAfterCodec;
@@ -37,6 +38,9 @@
 
     private static final int UNAVAILABLE = 503;
 
+    /** A time in milliseconds, with an optional fraction. */
+    private static final Pattern COLD_MILLIS = Pattern.compile("[0-9]{1,12}(\\.[0-9]{0,9})?");
+
     private final Supplier<EndpointTable> endpoints;
     private final Consumer<String> probe;
     private final PoisonRequests poison;
@@ -93,6 +97,7 @@
             if (LEAVING.equals(headers.get(Headers.LEAVING))) {
                 endpoints.get().recordLeaving(state.endpoint().incarnation(), now());
             }
+            recordCold(state, headers.get(Headers.COLD));
             if (status == UNAVAILABLE) {
                 RetryAfterCodec.millis(headers.get(Headers.RETRY_AFTER), wallMillis.getAsLong())
                         .ifPresent(rest -> endpoints.get().recordRest(state, rest, now()));
@@ -100,6 +105,18 @@
         });
     }
 
+    private void recordCold(EndpointState state, String header) {
+        if (header == null) {
+            return;
+        }
+        if (COLD_MILLIS.matcher(header.trim()).matches()) {
+            long millis = (long) Double.parseDouble(header.trim());
+            endpoints.get().pacing().recordCold(state.endpoint().incarnation(), millis, "response", now());
+        } else {
+            endpoints.get().pacing().recordUnreadable(state.endpoint(), "response");
+        }
+    }
+
     @Override
     public void onUnexpectedResponse(UnexpectedResponse response) {
         metrics.recordUnexpectedResponse(response.origin());
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -19,6 +19,7 @@
 import org.ragwortpitch.edge.control.EndpointReading;
 import org.ragwortpitch.health.EndpointNotices;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.logging.Event;
@@ -33,7 +34,7 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private final EndpointPermits permits;
+    private final EndpointPacing pacing;
     private final Consumer<String> onAddressRemoved;
     private final boolean firstStart;
     private final Map<PoolId, ListedVersions> versions = new HashMap<>();
@@ -44,13 +45,13 @@
     /**
      * Creates a table without endpoints.
      *
-     * @param permits          which endpoints may get a request, as far as they limit the rate
+     * @param pacing           which endpoints may get a request, as far as they limit the rate or are cold
      * @param firstStart       whether the whole fleet starts for the first time
      * @param onAddressRemoved called with the address of each endpoint incarnation that is no longer listed
      */
-    public EndpointTable(EndpointPermits permits, boolean firstStart, Consumer<String> onAddressRemoved) {
+    public EndpointTable(EndpointPacing pacing, boolean firstStart, Consumer<String> onAddressRemoved) {
         this.firstStart = firstStart;
-        this.permits = permits;
+        this.pacing = pacing;
         this.onAddressRemoved = onAddressRemoved;
     }
 
@@ -59,6 +60,7 @@
      */
     public void apply(Collection<Endpoint> listed, Deployment deployment, long nowMillis) {
         notices.listed(listed.stream().map(Endpoint::incarnation).toList(), nowMillis);
+        pacing.apply(listed, deployment, nowMillis);
         Map<EndpointId, EndpointState> next = new HashMap<>();
         // Endpoints in the first listing after a daemon's start are not new, so they are past their settling time.
         long listedMillis = states.isEmpty() ? nowMillis - EndpointState.SETTLING_MILLIS : nowMillis;
@@ -89,9 +91,10 @@
     }
 
     /**
-     * Records which software versions a reading of the endpoints' list shows.
+     * Records which software versions and cold times a reading of the endpoints' list shows.
      */
     public void recordRead(EndpointReading reading, long nowMillis) {
+        reading.coldMillis().forEach((endpoint, millis) -> pacing.recordCold(endpoint, millis, "entry", nowMillis));
         Set<PoolId> pools = new HashSet<>(versions.keySet());
         pools.addAll(reading.listed().keySet());
         pools.addAll(reading.since().keySet());
@@ -132,6 +135,9 @@
      */
     List<EndpointState> usable(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
         List<EndpointState> staying = available(pool, excluded, nowMillis);
+        if (!pacing.isOff()) {
+            pacing.recordWanted(pool, notLeaving(pool, excluded), staying, nowMillis);
+        }
         List<EndpointState> healthy = staying.stream()
                 .filter(state -> state.health().isUsable(nowMillis)
                         && !state.isAvoided(nowMillis)
@@ -141,12 +147,12 @@
     }
 
     /**
-     * Returns the endpoints of a pool that are not leaving, not resting and not at their rate limit, whatever their
-     * health.
+     * Returns the endpoints of a pool that are not leaving, not resting and not at their rate limit, stated or cold,
+     * whatever their health.
      */
     List<EndpointState> available(PoolId pool, Set<EndpointId> excluded, long nowMillis) {
         return notLeaving(pool, excluded).stream()
-                .filter(state -> !isResting(state, nowMillis) && permits.isOpen(state))
+                .filter(state -> !isResting(state, nowMillis) && pacing.isOpen(state, nowMillis))
                 .toList();
     }
 
@@ -168,26 +174,73 @@
     }
 
     /**
-     * Records that a request was assigned to an endpoint, which counts for its rate limit.
+     * Records that a request was assigned to a listed endpoint, which counts for its rate limit.
+     *
+     * @return when the request used a slot of a cold endpoint, for {@link #takesAssigned}
+     */
+    long recordSent(EndpointId endpoint, long nowMillis) {
+        return pacing.recordSent(find(endpoint), nowMillis);
+    }
+
+    /**
+     * Returns whether a request that was assigned to an endpoint earlier may be sent to it now.
+     *
+     * @param state      null if it is not listed any more
+     * @param slotMillis what {@link #recordSent} returned
+     */
+    boolean takesAssigned(EndpointState state, long slotMillis, long nowMillis) {
+        return state != null
+                && !state.endpoint().leaving()
+                && !isResting(state, nowMillis)
+                && pacing.confirm(state, slotMillis, nowMillis);
+    }
+
+    /**
+     * Returns whether an endpoint counts as cold.
+     */
+    boolean isCold(Endpoint endpoint, long nowMillis) {
+        return pacing.coldMillis(endpoint, nowMillis) > 0;
+    }
+
+    /**
+     * Paces the endpoints of a failure domain like cold ones until a time on the monotonic clock, in milliseconds, in
+     * the pools for which the configuration says what cold endpoints take.
+     */
+    public void recordColdDomain(FailureDomain domain, long untilMillis) {
+        pacing.recordColdDomain(domain, untilMillis);
+    }
+
+    /**
+     * Returns how endpoints are paced.
+     */
+    EndpointPacing pacing() {
+        return pacing;
+    }
+
+    /**
+     * Returns why requests find no endpoint of a pool, if coldness is the reason; empty if not.
      */
-    void recordSent(EndpointState state) {
-        permits.recordSent(state);
+    Optional<String> coldReason(PoolId pool, long nowMillis) {
+        return pacing.coldReason(notLeaving(pool, Set.of()), nowMillis);
     }
 
     /**
      * Returns the Retry-After of a request for which the pool has no endpoint: the time until the first of them takes
-     * requests again if all rest, otherwise that in which they together take another one under their rate limits.
+     * requests again if all rest or take none while cold, otherwise that in which they together take another one under
+     * their rate limits.
      *
      * @param minMillis returned if no endpoint rests or has a limit, and at least, in milliseconds
      */
     long retryAfterMillis(PoolId pool, long minMillis, long nowMillis) {
         List<EndpointState> staying = notLeaving(pool, Set.of());
         long restMillis = staying.stream()
-                .mapToLong(state -> notices.restMillis(state.endpoint().incarnation(), nowMillis))
+                .mapToLong(state -> Math.max(
+                        notices.restMillis(state.endpoint().incarnation(), nowMillis),
+                        pacing.closedMillis(state, nowMillis)))
                 .min()
                 .orElse(0);
         double perSecond = staying.stream()
-                .mapToDouble(state -> state.pacer().limit().orElse(0))
+                .mapToDouble(state -> pacing.limit(state, nowMillis).orElse(0))
                 .sum();
         long limitMillis = perSecond == 0 ? 0 : (long) (MILLIS_PER_SECOND / perSecond);
         return Math.max(minMillis, Math.max(restMillis, limitMillis));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationChecks.java
@@ -41,10 +41,15 @@
      *
      * @param goneVersion      the software version at which its stream has to go on, if no engine of it is left
      * @param others           how many engines of the pool the request was not sent to
+     * @param coldReason       that engines are cold, if they are
      * @param retryAfterMillis when another engine may be found, in milliseconds
      */
     void refuseForLackOfEngines(
-            boolean mayHaveExecuted, Optional<SoftwareVersion> goneVersion, int others, long retryAfterMillis) {
+            boolean mayHaveExecuted,
+            Optional<SoftwareVersion> goneVersion,
+            int others,
+            Optional<String> coldReason,
+            long retryAfterMillis) {
         if (goneVersion.isPresent()) {
             exchange.failOrRefuse(
                     mayHaveExecuted,
@@ -52,7 +57,9 @@
                     "no engine of software version " + goneVersion.get() + ", which began the stream, is left: begin it"
                             + " anew");
         } else {
-            exchange.failOrRefuse(mayHaveExecuted, retryAfterMillis, "no engine can decode; other engines: " + others);
+            String reason = "no engine can decode; other engines: " + others
+                    + coldReason.map(cold -> "; " + cold).orElse("");
+            exchange.failOrRefuse(mayHaveExecuted, retryAfterMillis, reason);
         }
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -59,6 +59,7 @@
     private Cancellation current = Cancellation.NONE;
     private int sends;
     private int executions;
+    private long decodeSlotMillis;
     private Placement placement;
     private Optional<String> retryReason = Optional.empty();
 
@@ -119,6 +120,7 @@
                     executions > 0,
                     resumption.version().filter(version -> !engines.hasDecoder(version)),
                     context.endpoints().notLeaving(pool, tried).size(),
+                    context.endpoints().coldReason(pool, now),
                     context.endpoints().retryAfterMillis(pool, GenerationChecks.RETRY_AFTER_MILLIS, now));
             return;
         }
@@ -197,9 +199,9 @@
         }
         EngineState decodeEngine = placement.decodeEngine();
         EndpointState state = context.endpoints().find(decodeEngine.endpoint().id());
-        if (state == null || state.endpoint().leaving() || context.endpoints().isResting(state, now)) {
+        if (!context.endpoints().takesAssigned(state, decodeSlotMillis, now)) {
             tried.add(decodeEngine.endpoint().id());
-            transferOrRetry("the decode engine is leaving or asked for rest");
+            transferOrRetry("the decode engine is leaving, asked for rest or is cold");
             return;
         }
         int uncached = kvCache.isAvailable() ? 1 : EngineEstimate.uncachedTokens(decodeEngine, generation);
@@ -339,8 +341,7 @@
     }
 
     private void recordAssigned(EngineState engine) {
-        context.endpoints()
-                .recordSent(context.endpoints().find(engine.endpoint().id()));
+        decodeSlotMillis = context.endpoints().recordSent(engine.endpoint().id(), now());
     }
 
     private void countExecution(EngineStream run) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -2,10 +2,12 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.ragwortpitch.deployment.Endpoint;
+import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.PrefixBlock;
 import org.ragwortpitch.edge.peer.GossipRound;
 import org.ragwortpitch.edge.peer.PeerStatus;
@@ -14,6 +16,7 @@
 import org.ragwortpitch.pacing.LimitReading;
 import org.ragwortpitch.placement.PeerLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.AccountSpend;
+import org.ragwortpitch.wire.generated.GossipProtocol.ColdEndpoint;
 import org.ragwortpitch.wire.generated.GossipProtocol.EndpointLimit;
 import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
 import org.ragwortpitch.wire.generated.GossipProtocol.Gossip;
@@ -38,6 +41,9 @@
     /** How long daemons tell each other that an endpoint has no limit any more, in milliseconds. */
     private static final long ENDED_LIMIT_MILLIS = 30_000;
 
+    /** About how many cold endpoints one datagram tells of, 40 bytes each. */
+    private static final int MAX_COLD_PER_DATAGRAM = 64;
+
     private final GossipContext context;
     private long sequence;
     private long endpointsChangedOffset = -1;
@@ -138,12 +144,32 @@
                         .setEndpoint(endpoint.endpoint().value())
                         .setBornMillis(endpoint.startMillis())));
         long nowMillis = context.clockMillis().getAsLong();
+        addCold(gossip, steps, nowMillis);
         context.poisonRequests()
                 .crashesChangedSince(toldSinceMillis(steps, nowMillis), nowMillis)
                 .forEach(crash -> gossip.addCrashedEndpoints(EndpointCrashCodec.encode(crash, nowMillis)));
         return gossip;
     }
 
+    /**
+     * Tells of cold endpoints. Where there are too many for a datagram, they take turns; the entries, which all daemons
+     * read, state the same.
+     */
+    private void addCold(Gossip.Builder gossip, int steps, long nowMillis) {
+        Map<EndpointIncarnation, Long> cold =
+                context.endpoints().pacing().changedSince(toldSinceMillis(steps, nowMillis), nowMillis);
+        long turn = nowMillis / (steps * GossipRound.STEP_MILLIS * ROUNDS_BETWEEN_ALL_FACTS);
+        long parts = (cold.size() + MAX_COLD_PER_DATAGRAM - 1) / MAX_COLD_PER_DATAGRAM;
+        cold.forEach((endpoint, millis) -> {
+            if (Math.floorMod(endpoint.hashCode(), parts) == turn % parts) {
+                gossip.addColdEndpoints(ColdEndpoint.newBuilder()
+                        .setEndpoint(endpoint.endpoint().value())
+                        .setBornMillis(endpoint.startMillis())
+                        .setRemainingMillis(millis));
+            }
+        });
+    }
+
     /**
      * Returns since when a fact must have changed to be told now: within the last rounds, or ever in one of several
      * rounds, for daemons that have missed it.
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -123,9 +123,8 @@
             onDeploymentAnnounced.accept(announcedVersion);
         }
         long now = context.clockMillis().getAsLong();
-        // Crashes, limits, the origins of streams and endpoints that leave count whoever reports them, also before the
-        // list of daemons is
-        // read.
+        // Crashes, limits, the origins of streams and endpoints that leave or are cold count whoever reports them, also
+        // before the list of daemons is read.
         gossip.getCrashedEndpointsList()
                 .forEach(crash -> context.poisonRequests().mergeCrash(EndpointCrashCodec.decode(crash, now), now));
         gossip.getBegunStreamsList().forEach(streams -> StreamOriginCodec.decode(streams, now)
@@ -134,6 +133,13 @@
                 .recordLeaving(
                         new EndpointIncarnation(new EndpointId(endpoint.getEndpoint()), endpoint.getBornMillis()),
                         now));
+        gossip.getColdEndpointsList().forEach(endpoint -> context.endpoints()
+                .pacing()
+                .recordCold(
+                        new EndpointIncarnation(new EndpointId(endpoint.getEndpoint()), endpoint.getBornMillis()),
+                        endpoint.getRemainingMillis(),
+                        "peer",
+                        now));
         boolean direct = gossip.getDigestOf().isEmpty() && peers.isDirect(peer);
         gossip.getLimitsList().forEach(limit -> receiveLimit(limit, direct, now));
         if (!gossip.getDigestOf().isEmpty()) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/ServiceRun.java
@@ -58,6 +58,10 @@
     /** Cost of a send to another failure domain, in running requests of an endpoint. */
     private static final double CROSS_DOMAIN_PENALTY_REQUESTS = 4;
 
+    private static final String NONE_AVAILABLE =
+            "no endpoint of the pool is available: none is listed, or all are leaving, asked for rest or are at the"
+                    + " rate limit that they state; retry later";
+
     private final TrafficContext context;
     private final Exchange exchange;
     private final PoolId pool;
@@ -148,14 +152,13 @@
                     executions > 0,
                     context.endpoints().retryAfterMillis(pool, RETRY_AFTER_MILLIS, now),
                     tried.isEmpty()
-                            ? "no endpoint of the pool is available: none is listed, or all are leaving, asked for"
-                                    + " rest or are at the rate limit that they state; retry later"
+                            ? context.endpoints().coldReason(pool, now).orElse(NONE_AVAILABLE)
                             : "every available endpoint of the pool was already tried");
             return;
         }
         EndpointState target = choice.get();
         target.health().sent(now);
-        context.endpoints().recordSent(target);
+        context.endpoints().recordSent(target.endpoint().id(), now);
         target.beginRequest();
         tried.add(target.endpoint().id());
         sends++;
--- a/edge/src/test/java/org/ragwortpitch/edge/control/EndpointRegistryTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/control/EndpointRegistryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.ragwortpitch.adapter.KeyedRecord;
@@ -80,6 +81,42 @@
         assertEquals(9, registry.changedOffset());
     }
 
+    private static KeyedRecord cold(long offset, String millis) {
+        String value =
+                "{\"Service\":\"app\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"ready\","
+                        + "\"ColdRemainingMs\":" + millis + "}";
+        return new KeyedRecord("servers/a", value.getBytes(StandardCharsets.UTF_8), offset);
+    }
+
+    private Collection<Long> readColdMillis() {
+        return registry.reading(new TopicReading(0, true)).coldMillis().values();
+    }
+
+    /** Guards against a burst on an endpoint that turns cold, which other daemons would read of half a second later. */
+    @Test
+    void testEndpointThatTurnsColdAdvancesTheChangedOffset() {
+        registry.replaceAll(List.of(cold(5, "0")), LONG_REACHABLE_MILLIS);
+        registry.update(List.of(cold(6, "9000")), LONG_REACHABLE_MILLIS);
+        assertEquals(6, registry.changedOffset());
+        registry.update(List.of(cold(7, "8000")), LONG_REACHABLE_MILLIS);
+        assertEquals(6, registry.changedOffset(), "it warms up");
+        registry.update(List.of(cold(8, "9000")), LONG_REACHABLE_MILLIS);
+        assertEquals(8, registry.changedOffset());
+    }
+
+    /** Guards against a stated time that counts again each time that the same entry is loaded. */
+    @Test
+    void testStatedTimeCountsOnceForEachEntry() {
+        registry.replaceAll(List.of(cold(5, "9000")), LONG_REACHABLE_MILLIS);
+        assertEquals(List.of(9_000L), List.copyOf(readColdMillis()));
+        registry.replaceAll(List.of(cold(5, "9000")), LONG_REACHABLE_MILLIS);
+        assertEquals(List.of(), List.copyOf(readColdMillis()));
+        registry.update(List.of(cold(6, "9000")), LONG_REACHABLE_MILLIS);
+        assertEquals(List.of(9_000L), List.copyOf(readColdMillis()));
+        registry.update(List.of(cold(7, "\"soon\"")), LONG_REACHABLE_MILLIS);
+        assertEquals(List.of(), List.copyOf(readColdMillis()));
+    }
+
     @Test
     void testUnreadableEntryRemovesTheEndpoint() {
         registry.replaceAll(List.of(entry("a", "ready")), LONG_REACHABLE_MILLIS);
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -28,6 +28,7 @@
 import org.ragwortpitch.deployment.EngineSpec;
 import org.ragwortpitch.deployment.Pool;
 import org.ragwortpitch.deployment.PrefixBlock;
+import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.peer.GossipRound;
 import org.ragwortpitch.edge.peer.PeerStatus;
 import org.ragwortpitch.edge.peer.PeerView;
@@ -299,10 +300,8 @@
         Member(String name) {
             self = new Daemon(new InstanceId(name), 1, new FailureDomain(name.substring(0, 1)), name, name);
             peers = new PeerView(self.id(), self.domain(), 2);
-            endpoints = new EndpointTable(
-                    new EndpointPermits(self.id(), () -> peers.daemons(nowMillis), () -> nowMillis),
-                    true,
-                    address -> {});
+            EndpointPermits permits = new EndpointPermits(self.id(), () -> peers.daemons(nowMillis), () -> nowMillis);
+            endpoints = new EndpointTable(new EndpointPacing(permits, new EdgeMetrics()), true, address -> {});
             Deployment deployment = new Deployment(
                     1,
                     List.of(),
--- a/policy/src/test/java/org/ragwortpitch/pacing/EndpointPacerHistoryTest.java
+++ b/policy/src/test/java/org/ragwortpitch/pacing/EndpointPacerHistoryTest.java
@@ -162,10 +162,10 @@
             Optional<Collection<InstanceId>> fleet = shared ? member.fleet : Optional.of(List.of(member.id));
             for (int request = 0; request < requests && member.runningFromMillis <= nowMillis; request++) {
                 boolean limited = nowMillis >= LIMIT_FROM_MILLIS && nowMillis < LIMIT_UNTIL_MILLIS;
-                if (!member.pacer.isOpen(member.id, fleet, wallMillis)) {
+                if (!member.pacer.isOpen(member.id, fleet, wallMillis, OptionalDouble.empty())) {
                     return;
                 }
-                member.pacer.sent(wallMillis);
+                member.pacer.sent(wallMillis, OptionalDouble.empty());
                 sentWhileLimited += limited ? 1 : 0;
                 if (limited
                         && nowMillis >= LIMIT_FROM_MILLIS + CONTACT_MILLIS
--- a/policy/src/test/java/org/ragwortpitch/pacing/EndpointPacerTest.java
+++ b/policy/src/test/java/org/ragwortpitch/pacing/EndpointPacerTest.java
@@ -26,8 +26,8 @@
     private int sentWithin(long fromMillis, long millis) {
         int sent = 0;
         for (long wallMillis = fromMillis; wallMillis < fromMillis + millis; wallMillis += 10) {
-            if (pacer.isOpen(SELF, ALONE, wallMillis)) {
-                pacer.sent(wallMillis);
+            if (pacer.isOpen(SELF, ALONE, wallMillis, OptionalDouble.empty())) {
+                pacer.sent(wallMillis, OptionalDouble.empty());
                 sent++;
             }
         }
@@ -36,7 +36,7 @@
 
     @Test
     void testEndpointWithoutALimitIsAlwaysOpen() {
-        assertTrue(pacer.isOpen(SELF, Optional.empty(), 0));
+        assertTrue(pacer.isOpen(SELF, Optional.empty(), 0, OptionalDouble.empty()));
         assertEquals(100, sentWithin(0, 1_000));
     }
 
@@ -71,7 +71,7 @@
     @Test
     void testDaemonThatDoesNotKnowTheFleetSendsNothing() {
         pacer.responded(OptionalDouble.of(1), 0, 10);
-        assertFalse(pacer.isOpen(SELF, Optional.empty(), 0));
+        assertFalse(pacer.isOpen(SELF, Optional.empty(), 0, OptionalDouble.empty()));
     }
 
     @Test
