Lend slots of cold endpoints to daemons of the domain

Cause: in the slots of daemons without requests, a cold endpoint idles. Change: a daemon that had no request for a pool for a second lends its slots, at least one whole slot and two rounds of gossip ahead, to daemons of its domain that lend none. It doesn't use a lent slot, whether or not the message arrives.

--- a/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/peer/PeerView.java
@@ -267,6 +267,17 @@
                 .toList();
     }
 
+    /**
+     * Returns the other daemons of this failure domain that take callers.
+     */
+    public Set<InstanceId> readyInDomain(long nowMillis) {
+        return reachable(nowMillis)
+                .filter(daemon ->
+                        daemon.domain().equals(domain) && status(daemon).ready())
+                .map(Daemon::id)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Returns whether this daemon reads the store closely on behalf of all.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -45,11 +45,13 @@
     private static final int MAX_COLD_PER_DATAGRAM = 64;
 
     private final GossipContext context;
+    private final SlotLending lending;
     private long sequence;
     private long endpointsChangedOffset = -1;
 
-    GossipWriter(GossipContext context) {
+    GossipWriter(GossipContext context, SlotLending lending) {
         this.context = context;
+        this.lending = lending;
     }
 
     /**
@@ -87,6 +89,7 @@
                         PoolReading.newBuilder().setPool(pool.value()).setTokens(tokens)));
         forEachEngine(state -> addLoad(gossip, state, state.engine().load(peer -> false), state.nextSentBlocks(times)));
         addLimits(gossip, EndpointPacer::own);
+        gossip.addAllLentSlots(lending.next());
         long nowMillis = context.clockMillis().getAsLong();
         gossip.addAllBegunStreams(StreamOriginCodec.encode(
                 context.origins().ownSince(toldSinceMillis(times, nowMillis), nowMillis), nowMillis));
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -48,6 +48,7 @@
     private final GossipContext context;
     private final PeerView peers;
     private final BiConsumer<String, byte[]> send;
+    private final SlotLending lending;
     private final GossipWriter writer;
     private final PeerCounts counts = new PeerCounts();
     private final LongConsumer onEndpointsChanged;
@@ -74,7 +75,8 @@
         this.onDeploymentAnnounced = onDeploymentAnnounced;
         this.peers = context.peers();
         this.send = send;
-        this.writer = new GossipWriter(context);
+        this.lending = new SlotLending(context);
+        this.writer = new GossipWriter(context, lending);
     }
 
     /**
@@ -142,6 +144,7 @@
                         now));
         boolean direct = gossip.getDigestOf().isEmpty() && peers.isDirect(peer);
         gossip.getLimitsList().forEach(limit -> receiveLimit(limit, direct, now));
+        gossip.getLentSlotsList().forEach(slot -> lending.receive(slot, peer, now));
         if (!gossip.getDigestOf().isEmpty()) {
             receiveDomainDigest(peer, gossip);
         } else if (direct) {
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/ColdGossipTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/ColdGossipTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -94,6 +95,27 @@
         members.values().forEach(member -> assertFalse(member.endpoints.isCold(ENDPOINT, nowMillis)));
     }
 
+    /** Guards against cold endpoints that idle in slots of daemons without requests, and against slots used twice. */
+    @Test
+    void testDaemonWithoutRequestsLendsItsSlotsInItsDomain() {
+        Map<String, Integer> sent = new TreeMap<>();
+        tell("a2", 60 * SECOND_MILLIS);
+        advance(SECOND_MILLIS);
+        for (long end = nowMillis + 50 * SECOND_MILLIS; nowMillis < end; ) {
+            advance(GossipRound.STEP_MILLIS);
+            for (String name : List.of("a1", "b1", "b2")) {
+                EndpointTable endpoints = members.get(name).endpoints;
+                if (!endpoints.usable(POOL, Set.of(), nowMillis).isEmpty()) {
+                    endpoints.recordSent(ENDPOINT.id(), nowMillis);
+                    sent.merge(name, 1, Integer::sum);
+                }
+            }
+        }
+        double all = COLD_PER_SECOND * 50;
+        assertTrue(sent.get("a1") >= 0.4 * all, sent + " of " + all + ": its quarter and that of a2");
+        assertTrue(sent.values().stream().mapToInt(count -> count).sum() <= all + 4, sent + " of " + all);
+    }
+
     /** A daemon that delivers datagrams to the others without sockets. */
     private final class Member {
 
