--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -48,6 +48,7 @@
     private final GossipContext context;
     private final PeerView peers;
     private final BiConsumer<String, byte[]> send;
+    private final SlotLending lending;
     private final GossipWriter writer;
     private final PeerCounts counts = new PeerCounts();
     private final LongConsumer onEndpointsChanged;
@@ -74,7 +75,8 @@
         this.onDeploymentAnnounced = onDeploymentAnnounced;
         this.peers = context.peers();
         this.send = send;
-        this.writer = new GossipWriter(context);
+        this.lending = new SlotLending(context);
+        this.writer = new GossipWriter(context, lending);
     }
 
     /**
@@ -123,8 +125,8 @@
             onDeploymentAnnounced.accept(announcedVersion);
         }
         long now = context.clockMillis().getAsLong();
-        // Crashes, limits, the origins of streams, endpoints that leave and evacuations count whoever reports them,
-        // also
+        // Crashes, limits, the origins of streams, endpoints that leave or are cold and evacuations count whoever
+        // reports them, also
         // before the list of daemons is read.
         gossip.getCrashedEndpointsList()
                 .forEach(crash -> context.poisonRequests().mergeCrash(EndpointCrashCodec.decode(crash, now), now));
@@ -136,8 +138,16 @@
                         now));
         EvacuationCodec.decode(gossip.getEvacuationsList()).forEach(order -> context.endpoints()
                 .apply(context.endpoints().evacuations().with(order), "peer " + peer, now));
+        gossip.getColdEndpointsList().forEach(endpoint -> context.endpoints()
+                .pacing()
+                .recordCold(
+                        new EndpointIncarnation(new EndpointId(endpoint.getEndpoint()), endpoint.getBornMillis()),
+                        endpoint.getRemainingMillis(),
+                        "peer",
+                        now));
         boolean direct = gossip.getDigestOf().isEmpty() && peers.isDirect(peer);
         gossip.getLimitsList().forEach(limit -> receiveLimit(limit, direct, now));
+        gossip.getLentSlotsList().forEach(slot -> lending.receive(slot, peer, now));
         if (!gossip.getDigestOf().isEmpty()) {
             receiveDomainDigest(peer, gossip);
         } else if (direct) {
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/EvacuatedDomainsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/EvacuatedDomainsTest.java
@@ -1,22 +1,29 @@
 package org.ragwortpitch.edge.traffic;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.CallerLimits;
 import org.ragwortpitch.deployment.ColdStart;
 import org.ragwortpitch.deployment.Deployment;
+import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.Pool;
+import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.evacuation.EvacuationOrder;
 import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.evacuation.StorePosition;
+import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.identity.SoftwareVersion;
 
 class EvacuatedDomainsTest {
 
@@ -24,8 +31,24 @@
 
     private static final long CANCELLED_MILLIS = 5_000;
 
+    private static final Endpoint ENDPOINT = new Endpoint(
+            new EndpointId("i-1"),
+            new PoolId("llm"),
+            "127.0.0.1:1",
+            DOMAIN,
+            1,
+            false,
+            EndpointRole.MIXED,
+            1,
+            false,
+            OptionalLong.empty(),
+            SoftwareVersion.UNSTATED);
+
     private final EndpointTable table = new EndpointTable(
-            new EndpointPermits(new InstanceId("front-1"), Optional::empty, () -> 0), true, address -> {});
+            new EndpointPacing(
+                    new EndpointPermits(new InstanceId("front-1"), Optional::empty, () -> 0), new EdgeMetrics()),
+            true,
+            address -> {});
 
     private static Deployment deployment(long coldMillis) {
         Optional<ColdStart> cold = coldMillis == 0 ? Optional.empty() : Optional.of(new ColdStart(coldMillis, 7.3));
@@ -47,10 +70,11 @@
             table.apply(List.of(), deployment(coldMillis), 0);
         }
         report(3, true, 1_000);
-        assertEquals(0, table.coldUntilMillis(DOMAIN));
+        assertFalse(table.isCold(ENDPOINT, 1_000));
         report(9, false, CANCELLED_MILLIS);
         report(9, false, CANCELLED_MILLIS + 1);
         table.apply(List.of(), deployment(coldMillis), CANCELLED_MILLIS + 2);
-        assertEquals(untilMillis, table.coldUntilMillis(DOMAIN));
+        assertEquals(untilMillis > 0, table.isCold(ENDPOINT, untilMillis - 1));
+        assertFalse(table.isCold(ENDPOINT, untilMillis));
     }
 }
