Learn the speeds of engines instead of one slowness

Cause: estimates used fixed figures for all engines, and one ratio for each engine that took a wait in the queue for a slow engine and was kept for good. Change: EngineSpeeds learns prefill throughput, set-up, time to the first event and decode step for each engine and pool, from requests that hardly waited. Prefills are fitted by moving weighted least squares, figures of an engine are geometric means that lose half of their weight in 15 s and fall back to those of the pool. EngineEstimate uses them; unmeasured engines have the nominal figures. A QueueWatch keeps the queue that other daemons' gossip tells of later. Event engine-speed. EngineChooserTest measures its slow engine by prefills.

--- a/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
@@ -37,6 +37,7 @@
      * Reports the present state. Called periodically on the traffic thread.
      */
     void publish() {
+        table.refreshSpeeds(clockMillis.getAsLong());
         Map<PoolId, PoolDemand> sample = demands.sample(table, clockMillis.getAsLong());
         Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = gossiper.receivedCounts();
         Set<EndpointIncarnation> saidToLeave = table.saidToLeave();
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointState.java
@@ -16,6 +16,7 @@
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.pacing.EndpointPacer;
 import org.ragwortpitch.pacing.LimitReading;
+import org.ragwortpitch.placement.EngineSpeed;
 import org.ragwortpitch.placement.EngineState;
 
 /**
@@ -36,6 +37,14 @@
 
     private static final int MIN_REFUSAL_STATUS = 300;
 
+    /** Change of a figure of an engine's speed that is logged, as a ratio. */
+    private static final double LOGGED_SPEED_RATIO = 1.25;
+
+    /** Least time between two such log lines of an engine, in milliseconds. */
+    private static final long SPEED_LOG_MILLIS = 5_000;
+
+    private static final double MICROS_PER_MILLI = 1_000;
+
     private final RepeatedMessages<PrefixBlock> sentBlocks = new RepeatedMessages<>(MAX_BLOCKS_PER_DATAGRAM);
     private final RepeatedMessages<PrefixBlock> blocksSentInDomain = new RepeatedMessages<>(MAX_BLOCKS_PER_DATAGRAM);
     private final HealthScore health = new HealthScore();
@@ -47,9 +56,13 @@
     private long announceRefusalUntilMillis;
     private int running;
     private long lastActivityMillis;
+    private EngineSpeed loggedSpeed = EngineSpeed.NOMINAL;
+    private long speedLoggedMillis;
+    private boolean speedFaultLogged;
 
     EndpointState(Endpoint endpoint, Optional<EngineSpec> spec, long nowMillis) {
         this.listedMillis = nowMillis;
+        this.speedLoggedMillis = nowMillis - SPEED_LOG_MILLIS;
         this.endpoint = endpoint;
         this.pacer = new EndpointPacer(endpoint.id());
         configure(spec);
@@ -172,6 +185,39 @@
         return engine;
     }
 
+    /**
+     * Logs the engine's learned speed if it has moved much since it was last logged.
+     */
+    void logSpeed(long nowMillis) {
+        EngineSpeed speed = engine.speed();
+        if (speed.differsFrom(loggedSpeed, LOGGED_SPEED_RATIO) && nowMillis - speedLoggedMillis >= SPEED_LOG_MILLIS) {
+            loggedSpeed = speed;
+            speedLoggedMillis = nowMillis;
+            Event.of("engine-speed")
+                    .with("endpoint", endpoint.id())
+                    .with("prefill-tokens-per-milli", (long) speed.prefillTokensPerMilli())
+                    .with("setup-millis", (long) speed.setupMillis())
+                    .with("first-event-millis", (long) speed.firstEventMillis())
+                    .with("step-micros", (long) (speed.stepMillis() * MICROS_PER_MILLI))
+                    .info(LOGGER);
+        }
+    }
+
+    /**
+     * Logs, once for each incarnation, that a daemon has reported figures that can't be used.
+     */
+    void logSpeedFault(EngineSpeed reported, String source, long ageMillis) {
+        if (!speedFaultLogged) {
+            speedFaultLogged = true;
+            Event.of("engine-speed-unusable")
+                    .with("endpoint", endpoint.id())
+                    .with("source", source)
+                    .with("age-millis", ageMillis)
+                    .with("reported", reported)
+                    .info(LOGGER);
+        }
+    }
+
     /**
      * Records that this daemon sent a prompt to the engine.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -22,6 +22,7 @@
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.logging.Event;
+import org.ragwortpitch.placement.EngineSpeeds;
 import org.ragwortpitch.resumption.ListedVersions;
 
 /**
@@ -38,6 +39,7 @@
     private final boolean firstStart;
     private final Map<PoolId, ListedVersions> versions = new HashMap<>();
     private final EndpointNotices notices = new EndpointNotices();
+    private final EngineSpeeds speeds = new EngineSpeeds();
     private Map<EndpointId, EndpointState> states = new HashMap<>();
     private Map<String, EndpointState> statesByAddress = Map.of();
 
@@ -86,6 +88,25 @@
         states = next;
         statesByAddress = next.values().stream()
                 .collect(Collectors.toMap(state -> state.endpoint().address(), state -> state, (one, other) -> other));
+        refreshSpeeds(nowMillis);
+    }
+
+    /**
+     * Applies what was learned of the engines' speeds to the estimates. Called when the listing changes and a few times
+     * a second.
+     */
+    public void refreshSpeeds(long nowMillis) {
+        List<EndpointState> engines =
+                states.values().stream().filter(state -> state.engine() != null).toList();
+        speeds.refresh(engines.stream().map(EndpointState::engine).toList(), nowMillis);
+        engines.forEach(state -> state.logSpeed(nowMillis));
+    }
+
+    /**
+     * Returns what is known of the engines' speeds.
+     */
+    public EngineSpeeds speeds() {
+        return speeds;
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
@@ -5,12 +5,15 @@
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.ragwortpitch.adapter.Headers;
+import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.edge.http.CallFailure;
 import org.ragwortpitch.edge.http.Cancellation;
 import org.ragwortpitch.edge.http.OutboundRequest;
 import org.ragwortpitch.edge.http.ResponseBody;
 import org.ragwortpitch.edge.http.ResponseListener;
+import org.ragwortpitch.placement.EngineSpeeds;
 import org.ragwortpitch.placement.EngineState;
+import org.ragwortpitch.placement.QueueWatch;
 
 /**
  * One send of a generation to one engine; splits the response into events.
@@ -27,6 +30,9 @@
     /** An engine that has sent events for this long does not crash on the request, in milliseconds. */
     private static final long JUST_BEGUN_MILLIS = 250;
 
+    /** Fewer pauses than this tell little about the time of a decode step. */
+    private static final int MIN_PAUSES = 4;
+
     private final EndpointState target;
     private final EngineState engine;
     private final long tokens;
@@ -40,6 +46,11 @@
     private boolean prefilling = true;
     private boolean hasEvents;
     private long firstEventMillis;
+    private long lastEventMillis;
+    private int pauses;
+    private boolean resumes;
+    private EngineSpeeds speeds;
+    private QueueWatch queue;
     private boolean counted;
     private boolean connectionLost;
     private LongSupplier clockMillis = () -> 0;
@@ -96,6 +107,33 @@
         return sentMillis;
     }
 
+    /**
+     * Learns the engine's speed from the time to the first event. That of a stream which goes on elsewhere tells
+     * nothing, as the engine has to process the earlier events first.
+     *
+     * @param transferred whether the KV cache was transferred to the engine, which prefilled the prompt otherwise
+     */
+    void recordFirstEvent(Generation generation, boolean transferred) {
+        long nowMillis = clockMillis.getAsLong();
+        if (resumes) {
+            return;
+        }
+        if (transferred) {
+            speeds.recordFirstEvent(queue, generation, nowMillis - sentMillis, nowMillis);
+        } else {
+            speeds.recordLocalPrefill(
+                    queue, uncachedTokens, generation.promptTokens(), nowMillis - sentMillis, nowMillis);
+        }
+    }
+
+    private void recordPauses() {
+        // Events that arrived together were held back on the way.
+        if (pauses >= MIN_PAUSES && lastEventMillis > firstEventMillis) {
+            double pauseMillis = (double) (lastEventMillis - firstEventMillis) / pauses;
+            speeds.recordPauses(engine, pauseMillis, clockMillis.getAsLong());
+        }
+    }
+
     /**
      * Marks the execution as counted.
      *
@@ -110,6 +148,9 @@
     void start(TrafficContext context, OutboundRequest request) {
         clockMillis = context.clockMillis();
         sentMillis = clockMillis.getAsLong();
+        resumes = sequence.hasBegun();
+        speeds = context.endpoints().speeds();
+        queue = engine.watchQueue();
         target.beginRequest();
         engine.requestStarted(tokens, uncachedTokens);
         currentSend = context.connections().send(target.endpoint().address(), request, Long.MAX_VALUE, this);
@@ -144,9 +185,11 @@
         if (events.isEmpty()) {
             return;
         }
+        lastEventMillis = clockMillis.getAsLong();
+        pauses += hasEvents ? events.size() : events.size() - 1;
         if (!hasEvents) {
             hasEvents = true;
-            firstEventMillis = clockMillis.getAsLong();
+            firstEventMillis = lastEventMillis;
         }
         if (prefilling) {
             prefilling = false;
@@ -184,6 +227,7 @@
             connectionLost = !framed;
             listener.onFailed(this, true, "the stream ended before the end of an event");
         } else {
+            recordPauses();
             listener.onComplete(this, splitter.rest());
         }
     }
@@ -210,6 +254,9 @@
     private void finish() {
         if (!ended) {
             ended = true;
+            if (queue != null) {
+                queue.end();
+            }
             target.endRequest();
             if (prefilling) {
                 engine.prefillEnded(uncachedTokens);
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -157,7 +157,6 @@
                 uncached,
                 handle -> {
                     log.prefilled(state, stallDetector.elapsedMillis(), uncached, estimate);
-                    engine.recordLatency(stallDetector.elapsedMillis(), estimate);
                     onPrefilled(state, handle);
                 },
                 this::onPrefillFailed);
@@ -227,9 +226,7 @@
         countExecution(run);
         exchange.sends().settle(now());
         if (!exchange.isStreamBegun() && !events.isEmpty()) {
-            if (placement.prefillEngine().isEmpty()) {
-                run.target().engine().recordLatency(stallDetector.elapsedMillis(), placement.firstEventMillis());
-            }
+            run.recordFirstEvent(generation, kvCache.isAvailable());
             run.target().health().succeeded();
             resumption.recordBegun(run.target().endpoint().version());
             exchange.recordResponse(run.target(), run.sentMillis());
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
@@ -13,7 +13,9 @@
 import org.ragwortpitch.edge.http.OutboundRequest;
 import org.ragwortpitch.edge.http.ResponseBody;
 import org.ragwortpitch.edge.http.ResponseListener;
+import org.ragwortpitch.placement.EngineSpeeds;
 import org.ragwortpitch.placement.EngineState;
+import org.ragwortpitch.placement.QueueWatch;
 
 /**
  * Prefills a prompt on one engine so that another engine can decode it. A prefill doesn't count as an execution of the
@@ -32,6 +34,8 @@
     private final ResponseBody body = new ResponseBody();
     private Cancellation currentSend = Cancellation.NONE;
     private LongSupplier clockMillis = () -> 0;
+    private EngineSpeeds speeds;
+    private QueueWatch queue;
     private long sentMillis;
     private boolean ended;
     private int status;
@@ -62,6 +66,8 @@
         clockMillis = context.clockMillis();
         sentMillis = clockMillis.getAsLong();
         request.headers().set(Headers.ROLE, EngineCodec.PREFILL_ONLY);
+        speeds = context.endpoints().speeds();
+        queue = engine.watchQueue();
         target.beginRequest();
         engine.requestStarted(tokens, uncachedTokens);
         currentSend = context.connections().send(target.endpoint().address(), request, Long.MAX_VALUE, this);
@@ -97,7 +103,10 @@
             return;
         }
         try {
-            onHandle.accept(EngineCodec.handle(ByteBufUtil.getBytes(body.content())));
+            String handle = EngineCodec.handle(ByteBufUtil.getBytes(body.content()));
+            long nowMillis = clockMillis.getAsLong();
+            speeds.recordPrefill(queue, uncachedTokens, tokens, nowMillis - sentMillis, nowMillis);
+            onHandle.accept(handle);
         } catch (CodecException exception) {
             refuse(exception.getMessage());
         }
@@ -118,6 +127,7 @@
     private void finish() {
         if (!ended) {
             ended = true;
+            queue.end();
             target.endRequest();
             engine.prefillEnded(uncachedTokens);
             engine.requestEnded(tokens);
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
@@ -3,31 +3,27 @@
 import org.ragwortpitch.deployment.Generation;
 
 /**
- * Estimates prefill times and times to the first event. The constants describe a large dense model; each engine's
- * measured slowness scales them.
+ * Estimates prefill times and times to the first event from each engine's {@link EngineSpeed}.
  */
 public final class EngineEstimate {
 
-    /** Prefill throughput of an otherwise idle engine, in tokens per millisecond, averaged over all prompt lengths. */
-    public static final double PREFILL_TOKENS_PER_MILLI = 37;
-
-    /** Fixed cost of a prefill, in milliseconds; a fully cached prompt takes this long as well. */
-    private static final double PREFILL_SETUP_MILLIS = 50;
+    /** Prefill throughput of an engine of the nominal speed, in tokens per millisecond, over all prompt lengths. */
+    public static final double PREFILL_TOKENS_PER_MILLI = EngineSpeed.NOMINAL.prefillTokensPerMilli();
 
     /**
-     * Prefill throughput of an engine that also decodes, in tokens per millisecond: a quarter of a chunk of 1,024
-     * tokens at half the speed, then a decode step of about 5.5 ms for the other requests.
+     * Prefill throughput of an engine of the nominal speed that also decodes, in tokens per millisecond: a quarter of a
+     * chunk of 1,024 tokens at about half the speed, then a decode step for the other requests.
      */
     private static final double INTERLEAVED_TOKENS_PER_MILLI = 15;
 
-    /** Speed of a prefill interleaved with decoding, relative to a prefill alone; specified by the platform. */
-    private static final double INTERLEAVED_SPEED_SHARE = 0.5;
+    private static final double INTERLEAVED_CHUNK_TOKENS = 256;
 
-    /** Milliseconds per million token pairs: the attention cost, which grows with the square of the prompt length. */
-    private static final double ATTENTION_MILLIS_PER_MILLION_PAIRS = 0.323;
+    /** Prefill of such a chunk, in milliseconds at the nominal speed; the rest of its time is the decode step. */
+    private static final double INTERLEAVED_CHUNK_MILLIS =
+            INTERLEAVED_CHUNK_TOKENS / INTERLEAVED_TOKENS_PER_MILLI - EngineSpeed.NOMINAL.stepMillis();
 
-    /** Time from the end of the prefill to the first event, in milliseconds: seven decode steps of about 6 ms. */
-    private static final double FIRST_EVENT_MILLIS = 47;
+    /** Speed of a prefill interleaved with decoding, relative to a prefill alone; specified by the platform. */
+    private static final double INTERLEAVED_SPEED_SHARE = 0.5;
 
     /** Setup time of a KV cache transfer between engines, in milliseconds, as the operators' data sheet gives it. */
     private static final double TRANSFER_SETUP_MILLIS = 6;
@@ -39,8 +35,6 @@
 
     private static final double BITS_PER_MEGABIT_MILLI = 1_000;
 
-    private static final double PAIRS_PER_MILLION = 1_000_000;
-
     private EngineEstimate() {}
 
     /**
@@ -48,10 +42,7 @@
      */
     public static double prefillMillis(EngineState engine, Generation generation) {
         int uncached = uncachedTokens(engine, generation);
-        double own = PREFILL_SETUP_MILLIS
-                + uncached / PREFILL_TOKENS_PER_MILLI
-                + attentionMillis(uncached, generation.promptTokens());
-        return engine.slowness() * own + prefillWaitMillis(engine);
+        return engine.speed().prefillMillis(uncached, generation.promptTokens()) + prefillWaitMillis(engine);
     }
 
     /**
@@ -59,10 +50,17 @@
      * the wait in its queue.
      */
     public static double localMillis(EngineState engine, Generation generation) {
-        int uncached = uncachedTokens(engine, generation);
-        double own = uncached / INTERLEAVED_TOKENS_PER_MILLI
-                + attentionMillis(uncached, generation.promptTokens()) / INTERLEAVED_SPEED_SHARE;
-        return engine.slowness() * (own + FIRST_EVENT_MILLIS) + localWaitMillis(engine);
+        return localPrefillMillis(engine, uncachedTokens(engine, generation), generation.promptTokens())
+                + engine.speed().firstEventMillis()
+                + localWaitMillis(engine);
+    }
+
+    /**
+     * Estimates how long a decode engine prefills a prompt itself, in milliseconds, without the wait in its queue.
+     */
+    static double localPrefillMillis(EngineState engine, long uncachedTokens, long promptTokens) {
+        return uncachedTokens / interleavedTokensPerMilli(engine)
+                + engine.speed().attentionMillis(uncachedTokens, promptTokens) / INTERLEAVED_SPEED_SHARE;
     }
 
     /**
@@ -70,23 +68,44 @@
      * the KV cache transfer.
      */
     public static double firstEventAfterTransferMillis(EngineState engine, Generation generation) {
+        return transferMillis(engine, generation) + engine.speed().firstEventMillis();
+    }
+
+    /**
+     * Estimates how long the transfer of a prompt's KV cache to an engine takes, in milliseconds.
+     */
+    static double transferMillis(EngineState engine, Generation generation) {
         double bits = (double) generation.promptTokens() * engine.spec().kvBytesPerToken() * BITS_PER_BYTE;
-        double transfer = TRANSFER_SETUP_MILLIS + bits / (engine.spec().linkMbps() * BITS_PER_MEGABIT_MILLI);
-        return transfer + engine.slowness() * FIRST_EVENT_MILLIS;
+        return TRANSFER_SETUP_MILLIS + bits / (engine.spec().linkMbps() * BITS_PER_MEGABIT_MILLI);
     }
 
     /**
      * Estimates the queueing delay of a further prompt on a prefill engine, in milliseconds.
      */
     public static double prefillWaitMillis(EngineState engine) {
-        return engine.slowness() * engine.totalPrefillTokens() / PREFILL_TOKENS_PER_MILLI;
+        return engine.totalPrefillTokens() / engine.speed().prefillTokensPerMilli();
     }
 
     /**
      * Estimates the queueing delay of a further prompt on a decode engine, in milliseconds.
      */
     public static double localWaitMillis(EngineState engine) {
-        return engine.slowness() * engine.totalPrefillTokens() / INTERLEAVED_TOKENS_PER_MILLI;
+        return localWaitMillis(engine, engine.totalPrefillTokens());
+    }
+
+    /**
+     * Estimates how long a decode engine takes to prefill the tokens in its queue, in milliseconds.
+     */
+    static double localWaitMillis(EngineState engine, long queuedTokens) {
+        return queuedTokens / interleavedTokensPerMilli(engine);
+    }
+
+    /**
+     * Estimates the prefill throughput of an engine over prompts of all lengths, in tokens per millisecond, set-up
+     * included.
+     */
+    public static double throughputTokensPerMilli(EngineSpeed speed) {
+        return PREFILL_TOKENS_PER_MILLI / speed.prefillTimeRelativeTo(EngineSpeed.NOMINAL);
     }
 
     /**
@@ -102,12 +121,13 @@
      */
     public static double streamDelayMillis(EngineState engine, Generation generation) {
         double prefillMillis =
-                uncachedTokens(engine, generation) / (PREFILL_TOKENS_PER_MILLI * INTERLEAVED_SPEED_SHARE);
+                uncachedTokens(engine, generation) / (engine.speed().prefillTokensPerMilli() * INTERLEAVED_SPEED_SHARE);
         return prefillMillis * Math.min(1, engine.totalRunning() / FULL_WEIGHT_STREAMS);
     }
 
-    private static double attentionMillis(int uncached, int promptTokens) {
-        double pairs = (double) uncached * (promptTokens - uncached / 2.0);
-        return ATTENTION_MILLIS_PER_MILLION_PAIRS * pairs / PAIRS_PER_MILLION;
+    private static double interleavedTokensPerMilli(EngineState engine) {
+        return INTERLEAVED_CHUNK_TOKENS
+                / (INTERLEAVED_CHUNK_MILLIS * engine.speed().relativePrefillTime()
+                        + engine.speed().stepMillis());
     }
 }
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineState.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineState.java
@@ -1,7 +1,10 @@
 package org.ragwortpitch.placement;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.EngineSpec;
@@ -9,25 +12,13 @@
 
 /**
  * Local estimate of the state of one incarnation of an engine: the load that this daemon has sent to it, the load that
- * other daemons report, its prefix cache, and its measured speed relative to the expected one. Confined to one thread.
+ * other daemons report, its prefix cache, and its measured speed. Confined to one thread.
  */
 public final class EngineState {
 
     /** The share of the KV cache that cached prefixes may occupy; the rest is for running requests. */
     private static final double PREFIX_CACHE_SHARE = 0.8;
 
-    /** Weight of a new sample in the moving average of the speed; about ten samples make up most of the average. */
-    private static final double SLOWNESS_SAMPLE_WEIGHT = 0.15;
-
-    /** Bounds of a single sample, so that a request delayed by a crash does not distort the average. */
-    private static final double MIN_SAMPLE_RATIO = 0.4;
-
-    private static final double MAX_SAMPLE_RATIO = 3;
-
-    private static final double MIN_SLOWNESS = 0.5;
-
-    private static final double MAX_SLOWNESS = 8;
-
     private final EngineSpec spec;
     private final PrefixCacheEstimate cache;
     private final Map<InstanceId, PeerLoad> peers = new HashMap<>();
@@ -38,10 +29,13 @@
     private int peersRunning;
     private long peersKvCacheTokens;
     private long peersPrefillTokens;
-    private double slowness = 1;
+    private final EngineMeasurements measurements = new EngineMeasurements();
+    private final List<QueueWatch> watches = new ArrayList<>();
+    private EngineSpeed speed = EngineSpeed.NOMINAL;
+    private EngineSpeed poolSpeed = EngineSpeed.NOMINAL;
 
     /**
-     * Creates the state of an engine with no load, an empty prefix cache and the expected speed.
+     * Creates the state of an engine with no load, an empty prefix cache and the nominal speed.
      */
     public EngineState(Endpoint endpoint, EngineSpec spec) {
         this.endpoint = endpoint;
@@ -95,26 +89,65 @@
         if (load.running() == 0 && load.prefillTokens() == 0) {
             peersKvCacheTokens -= load.kvCacheTokens();
         }
+        watches.forEach(watch -> watch.observe(peersPrefillTokens));
     }
 
     /**
-     * Updates the slowness from the measured time of a prefill or to the first event. Queueing behind load of other
-     * daemons that this daemon has not learned of yet raises the slowness too.
-     *
-     * @param estimatedMillis the estimate, made with the current slowness
+     * Begins to watch the queue before a request that is about to be sent, until {@link QueueWatch#end}.
      */
-    public void recordLatency(double actualMillis, double estimatedMillis) {
-        double ratio =
-                Math.max(MIN_SAMPLE_RATIO, Math.min(MAX_SAMPLE_RATIO, actualMillis / Math.max(1, estimatedMillis)));
-        slowness =
-                Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, slowness * (1 + SLOWNESS_SAMPLE_WEIGHT * (ratio - 1))));
+    public QueueWatch watchQueue() {
+        QueueWatch watch = new QueueWatch(this, prefillTokens, peersPrefillTokens);
+        watches.add(watch);
+        return watch;
+    }
+
+    void endWatch(QueueWatch watch) {
+        watches.remove(watch);
     }
 
     /**
-     * Returns the moving average of measured over expected time; 1 is the expected speed, 2 takes twice as long.
+     * Returns the samples of the engine's speed.
+     */
+    EngineMeasurements measurements() {
+        return measurements;
+    }
+
+    /**
+     * Sets what the samples say at present.
+     */
+    void updateSpeed(EngineSpeed measured, EngineSpeed ofPool) {
+        speed = measured;
+        poolSpeed = ofPool;
+    }
+
+    /**
+     * Returns the engine's measured speed; that of its pool as far as it was not measured.
+     */
+    public EngineSpeed speed() {
+        return speed;
+    }
+
+    /**
+     * Returns the engine's time for a typical prefill over that of its pool; 2 takes twice as long.
      */
     public double slowness() {
-        return slowness;
+        return speed.prefillTimeRelativeTo(poolSpeed);
+    }
+
+    /**
+     * Returns what this daemon has measured of the engine lately; empty if nothing.
+     */
+    public Optional<SpeedReport> ownSpeedReport(long nowMillis) {
+        return measurements.ownReport(nowMillis);
+    }
+
+    /**
+     * Returns what this daemon and others have measured of the engine lately; empty if nothing.
+     *
+     * @param others selects the daemons that are included
+     */
+    public Optional<SpeedReport> speedReport(Predicate<InstanceId> others, long nowMillis) {
+        return measurements.report(others, nowMillis);
     }
 
     /**
--- a/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
+++ b/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
@@ -139,10 +139,11 @@
                 .filter(engine -> engine.endpoint().id().value().equals(preferred))
                 .findFirst()
                 .orElseThrow();
+        EngineSpeeds speeds = new EngineSpeeds();
         for (int read = 0; read < 10; read++) {
-            slow.recordLatency(
-                    3 * EngineEstimate.prefillMillis(slow, prompt(5, 6)),
-                    EngineEstimate.prefillMillis(slow, prompt(5, 6)));
+            QueueWatch queue = slow.watchQueue();
+            queue.end();
+            speeds.recordPrefill(queue, 17_000, 17_000, 3 * EngineEstimate.prefillMillis(slow, prompt(5, 6)), read);
         }
         assertNotEquals(preferred, prefillEngine(prompt(5, 6), engines));
         assertTrue(slow.slowness() <= 8);
