Share measured speeds of engines by gossip

Cause: a daemon handles one to three requests a second, too few to learn the speeds of tens of engines within a minute. Change: each daemon tells what it has measured itself (engine_speeds), a digest what its domain has; receivers keep the latest report of each source and weigh it by samples and age.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -12,7 +12,9 @@
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.pacing.EndpointPacer;
 import org.ragwortpitch.pacing.LimitReading;
+import org.ragwortpitch.placement.EngineState;
 import org.ragwortpitch.placement.PeerLoad;
+import org.ragwortpitch.placement.SpeedReport;
 import org.ragwortpitch.wire.generated.GossipProtocol.AccountSpend;
 import org.ragwortpitch.wire.generated.GossipProtocol.EndpointLimit;
 import org.ragwortpitch.wire.generated.GossipProtocol.EngineLoad;
@@ -82,6 +84,7 @@
         forEachEngine(state -> addLoad(gossip, state, state.engine().load(peer -> false), state.nextSentBlocks(times)));
         addLimits(gossip, EndpointPacer::own);
         long nowMillis = context.clockMillis().getAsLong();
+        addSpeeds(gossip, engine -> engine.ownSpeedReport(nowMillis), times, nowMillis);
         gossip.addAllBegunStreams(StreamOriginCodec.encode(
                 context.origins().ownSince(toldSinceMillis(times, nowMillis), nowMillis), nowMillis));
         return gossip.build().toByteArray();
@@ -114,6 +117,7 @@
         forEachEngine(state -> addLoad(
                 gossip, state, state.engine().load(context.peers()::isDirect), state.nextBlocksSentInDomain(times)));
         addLimits(gossip, EndpointPacer::inDomain);
+        addSpeeds(gossip, engine -> engine.speedReport(context.peers()::isDirect, nowMillis), times, nowMillis);
         gossip.addAllBegunStreams(StreamOriginCodec.encode(
                 context.origins().knownSince(toldSinceMillis(times, nowMillis), nowMillis), nowMillis));
         return gossip.build().toByteArray();
@@ -156,6 +160,16 @@
         return all ? Long.MIN_VALUE : nowMillis - ROUNDS_OF_NEW_FACTS * roundMillis;
     }
 
+    private void addSpeeds(
+            Gossip.Builder gossip, Function<EngineState, Optional<SpeedReport>> source, int steps, long nowMillis) {
+        long sinceMillis = toldSinceMillis(steps, nowMillis);
+        long round = nowMillis / (steps * GossipRound.STEP_MILLIS);
+        // Rounds that tell all facts are counted by themselves, so that each engine is told in one of them.
+        long roundIndex = sinceMillis == Long.MIN_VALUE ? round / ROUNDS_BETWEEN_ALL_FACTS : round;
+        gossip.addAllEngineSpeeds(
+                EngineSpeedCodec.encode(context.endpoints(), source, sinceMillis, roundIndex, nowMillis));
+    }
+
     private void addLimits(Gossip.Builder gossip, Function<EndpointPacer, Optional<LimitReading>> source) {
         long nowMillis = context.clockMillis().getAsLong();
         for (EndpointState state : context.endpoints().all()) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -175,6 +175,7 @@
         for (PoolReading reading : gossip.getReadingsList()) {
             context.demands().recordDirectPeer(peer, startMillis, new PoolId(reading.getPool()), reading.getTokens());
         }
+        EngineSpeedCodec.learn(context.endpoints(), peer, gossip.getEngineSpeedsList(), now);
         List<EndpointId> avoided =
                 gossip.getChangingList().stream().map(EndpointId::new).toList();
         context.endpoints().avoid(avoided, now + AVOID_MILLIS);
@@ -220,6 +221,7 @@
         for (PoolReading reading : gossip.getReadingsList()) {
             context.demands().recordPeer(domain, incarnation, new PoolId(reading.getPool()), reading.getTokens());
         }
+        EngineSpeedCodec.learn(context.endpoints(), domain, gossip.getEngineSpeedsList(), now);
         context.endpoints()
                 .avoid(
                         gossip.getChangingList().stream().map(EndpointId::new).toList(),
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -40,6 +40,8 @@
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.pacing.EndpointPacer;
+import org.ragwortpitch.placement.EngineSpeed;
+import org.ragwortpitch.placement.QueueWatch;
 import org.ragwortpitch.poison.CrashCause;
 import org.ragwortpitch.resumption.StreamId;
 import org.ragwortpitch.resumption.StreamOrigin;
@@ -264,6 +266,27 @@
         assertTrue(started.state().endpoint().leaving());
     }
 
+    /** Guards against daemons, new ones too, that learn an engine's speed from their own few requests alone. */
+    @Test
+    void testEngineSpeedIsKnownToAllDaemonsAndToNewOnes() {
+        for (String name : List.of("a1", "a1", "a1", "a2", "a2", "a2")) {
+            QueueWatch queue = members.get(name).engine().watchQueue();
+            queue.end();
+            members.get(name).endpoints.speeds().recordPrefill(queue, 3_000, 12_000, 350, nowMillis);
+        }
+        advance(SECOND_MILLIS);
+        members.remove("b2");
+        Member started = new Member("b2");
+        members.put("b2", started);
+        members.values().forEach(Member::applyListing);
+        advance(4 * SECOND_MILLIS);
+        for (Member member : members.values()) {
+            member.endpoints.refreshSpeeds(nowMillis);
+            EngineSpeed speed = member.engine().speed();
+            assertEquals(2, speed.prefillTimeRelativeTo(EngineSpeed.NOMINAL), 0.4, member.self.toString());
+        }
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
