Plan engines by the learned speed of their pool

Cause: the planner counted on 37 tokens a millisecond for engines of any kind. Change: PoolDemand carries the throughput of an engine of the pool, derived from its time for a typical prefill over the nominal one.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/PoolDemands.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/PoolDemands.java
@@ -6,6 +6,7 @@
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.placement.EngineEstimate;
 import org.ragwortpitch.scaling.DemandMeter;
 import org.ragwortpitch.scaling.PoolDemand;
 
@@ -55,7 +56,9 @@
                             && state.engine() != null)
                     .mapToInt(state -> state.engine().totalRunning())
                     .sum();
-            demands.put(pool, new PoolDemand(meter.sample(nowMillis), streams));
+            double engineTokensPerMilli =
+                    EngineEstimate.throughputTokensPerMilli(endpoints.speeds().speed(pool));
+            demands.put(pool, new PoolDemand(meter.sample(nowMillis), streams, engineTokensPerMilli));
         });
         return demands;
     }
--- a/policy/src/main/java/org/ragwortpitch/scaling/EngineDemandEstimator.java
+++ b/policy/src/main/java/org/ragwortpitch/scaling/EngineDemandEstimator.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import org.ragwortpitch.placement.EngineEstimate;
 
 /**
  * Computes how many engines a demand needs, with hysteresis: the count rises at once but falls only after the need has
@@ -41,8 +40,8 @@
      * @param domains the number of failure domains, each of which has at least one decode engine
      */
     public EngineCount count(PoolDemand demand, int domains, long nowMillis) {
-        int prefillEngines = (int) Math.ceil(
-                demand.prefillTokensPerMilli() / (EngineEstimate.PREFILL_TOKENS_PER_MILLI * PREFILL_UTILIZATION));
+        int prefillEngines =
+                (int) Math.ceil(demand.prefillTokensPerMilli() / (demand.engineTokensPerMilli() * PREFILL_UTILIZATION));
         int decodeEngines = (demand.streams() + STREAMS_PER_DECODE_ENGINE - 1) / STREAMS_PER_DECODE_ENGINE;
         if (!demandSeen) {
             demandSeen = demand.prefillTokensPerMilli() > 0;
--- a/policy/src/test/java/org/ragwortpitch/scaling/EngineDemandEstimatorTest.java
+++ b/policy/src/test/java/org/ragwortpitch/scaling/EngineDemandEstimatorTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.ragwortpitch.identity.InstanceId;
+import org.ragwortpitch.placement.EngineEstimate;
+import org.ragwortpitch.placement.EngineSpeed;
 
 /**
  * Tests how many engines a demand needs through an idle start, a cold start and a lower steady demand.
@@ -44,6 +48,16 @@
         assertEquals(7, need.count(new PoolDemand(100, 10), 3, 9_001).prefillEngines());
     }
 
+    /** Guards against a plan for engines of the nominal speed in a pool that was measured to have others. */
+    @ParameterizedTest
+    @CsvSource({"37, 50, 50, 31", "93, 50, 50, 19", "93, 20, 50, 13", "21.8, 85, 80, 52"})
+    void testEnginesAreCountedByTheirLearnedSpeed(double rate, double setupMillis, double firstMillis, int expected) {
+        double engine = EngineEstimate.throughputTokensPerMilli(new EngineSpeed(rate, setupMillis, firstMillis, 5.5));
+        EngineDemandEstimator small = new EngineDemandEstimator(new EngineCount(1, 0));
+        assertEquals(
+                expected, small.count(new PoolDemand(450, 100, engine), 3, 0).prefillEngines());
+    }
+
     @Test
     void testMeterAddsTotalsOfPeers() {
         DemandMeter meter = new DemandMeter();
