Export the learned speeds of pools as metrics

Cause: nobody saw by which figures requests are placed. Change: gauges of the prefill throughput and of the learned times by pool, set when metrics are read. Measured: compiles and passes lint; covered by no test.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -162,7 +162,7 @@
         directory = listen(settings.directoryAddress(), addresses::answer);
         listen(
                 settings.ip() + ":" + metricsPort,
-                query -> new SmallAnswer(OK, "text/plain; charset=utf-8", metrics.scrape()));
+                query -> new SmallAnswer(OK, "text/plain; charset=utf-8", metrics.scrape(table.speeds()::forEachPool)));
         control = control();
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -9,12 +9,16 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Locale;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.ragwortpitch.deployment.Route;
+import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.placement.EngineSpeed;
 import org.ragwortpitch.response.ResponseOrigin;
 
 /**
- * Prometheus metrics of a daemon. Label values are bounded: kinds, outcomes and statuses, never routes, accounts or
- * endpoints.
+ * Prometheus metrics of a daemon. Label values are bounded: kinds, outcomes and statuses, pools, never routes,
+ * accounts or endpoints.
  */
 public final class EdgeMetrics {
 
@@ -61,6 +65,16 @@
             .name("ragwortpitch_deployment_version")
             .help("The version of the configuration in force")
             .register(registry);
+    private final Gauge enginePrefillRate = Gauge.builder()
+            .name("ragwortpitch_engine_prefill_tokens_per_second")
+            .help("Learned prefill throughput of a pool's engines, without set-up and attention")
+            .labelNames("pool")
+            .register(registry);
+    private final Gauge engineTimes = Gauge.builder()
+            .name("ragwortpitch_engine_learned_seconds")
+            .help("Learned times of a pool's engines, by what they take them for")
+            .labelNames("pool", "figure")
+            .register(registry);
 
     /**
      * Records the outcome of a request and the time of its whole answer, in milliseconds.
@@ -130,8 +144,11 @@
 
     /**
      * Returns all metrics in the Prometheus text format.
+     *
+     * @param engineSpeeds passes on the learned speed of each pool's engines
      */
-    public byte[] scrape() {
+    public byte[] scrape(Consumer<BiConsumer<PoolId, EngineSpeed>> engineSpeeds) {
+        engineSpeeds.accept(this::setEngineSpeed);
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try {
             new PrometheusTextFormatWriter(false).write(out, registry.scrape());
@@ -141,6 +158,13 @@
         return out.toByteArray();
     }
 
+    private void setEngineSpeed(PoolId pool, EngineSpeed speed) {
+        enginePrefillRate.labelValues(pool.value()).set(speed.prefillTokensPerMilli() * MILLIS_PER_SECOND);
+        engineTimes.labelValues(pool.value(), "setup").set(speed.setupMillis() / MILLIS_PER_SECOND);
+        engineTimes.labelValues(pool.value(), "first-event").set(speed.firstEventMillis() / MILLIS_PER_SECOND);
+        engineTimes.labelValues(pool.value(), "step").set(speed.stepMillis() / MILLIS_PER_SECOND);
+    }
+
     private static String kind(Route route) {
         return route.kind().name().toLowerCase(Locale.ROOT);
     }
