Leave fast prefill engines to prompts that need them

Cause: engines of one pool differ by a factor of 2.4; short prompts took the fast ones, and long prompts then missed their target on others. Change: EngineChooser takes the route's target. A fast engine costs more than another that meets 0.7 of the target, hardly waits and has as much of the prompt cached. Pools of equal engines have no fast ones. Measured: EngineSpeedsTest and EngineChooserTest pass.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -15,8 +15,11 @@
 /**
  * Selects engines of a pool for one generation among those that it has not tried: usable ones, or else any available
  * one. Confined to the traffic thread.
+ *
+ * @param targetMillis the target for the time to the first event, in milliseconds
  */
-record EngineSelector(EndpointTable endpoints, EngineChooser chooser, PoolId pool, Generation generation) {
+record EngineSelector(
+        EndpointTable endpoints, EngineChooser chooser, PoolId pool, Generation generation, int targetMillis) {
 
     /**
      * Returns the engines with the lowest cost; empty if none can decode.
@@ -35,7 +38,8 @@
                 candidates.stream()
                         .filter(state -> !isDecoder(state) || hasVersion(state, version))
                         .map(EndpointState::engine)
-                        .toList());
+                        .toList(),
+                targetMillis);
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineStream.java
@@ -115,6 +115,7 @@
      */
     void recordFirstEvent(Generation generation, boolean transferred) {
         long nowMillis = clockMillis.getAsLong();
+        queue.end();
         if (resumes) {
             return;
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -71,7 +71,8 @@
             Generation generation,
             ProxyFallback fallback) {
         this.context = context;
-        this.engines = new EngineSelector(context.endpoints(), chooser, pool, generation);
+        this.engines = new EngineSelector(
+                context.endpoints(), chooser, pool, generation, exchange.route().targetMillis());
         this.exchange = exchange;
         this.pool = pool;
         this.generation = generation;
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
@@ -40,6 +40,18 @@
 
     private static final double TENTHS_PER_UNIT = 10;
 
+    /** An engine below this time relative to its pool is fast: clearly more than the error of what was learned. */
+    private static final double FAST_RATIO = 0.85;
+
+    /** Share of the target within which another engine has to serve a prompt that leaves the fast ones alone. */
+    private static final double COMFORTABLE_SHARE = 0.7;
+
+    /** Wait on another engine, in milliseconds, above which the fast ones take any prompt: they would idle else. */
+    private static final double MAX_RESERVING_WAIT_MILLIS = 20;
+
+    /** How much more a fast engine costs than another that would do, in milliseconds. */
+    private static final double RESERVED_MILLIS = 1;
+
     private final FailureDomain domain;
 
     /**
@@ -52,16 +64,28 @@
     }
 
     /**
-     * Chooses a decode engine and, where that costs less, a separate prefill engine.
+     * Chooses for a request without a latency target.
      *
      * @param engines the candidates, of all roles
      * @return empty if there is no decode engine among the candidates
      */
     public Optional<Placement> choose(Generation generation, Collection<EngineState> engines) {
+        return choose(generation, engines, 0);
+    }
+
+    /**
+     * Chooses a decode engine and, where that costs less, a separate prefill engine. Fast prefill engines are left to
+     * the prompts that need them to meet their target.
+     *
+     * @param engines      the candidates, of all roles
+     * @param targetMillis the target for the time to the first event, in milliseconds
+     * @return empty if there is no decode engine among the candidates
+     */
+    public Optional<Placement> choose(Generation generation, Collection<EngineState> engines, double targetMillis) {
         List<EngineState> decodeEngines = withRole(engines, EndpointRole.DECODE);
         List<EngineState> prefillEngines = withRole(engines, EndpointRole.PREFILL);
         Choice best = null;
-        Optional<PrefillChoice> prefill = bestPrefill(generation, prefillEngines);
+        Optional<PrefillChoice> prefill = bestPrefill(generation, prefillEngines, targetMillis);
         for (EngineState decodeEngine : decodeEngines) {
             double penalty = penaltyMillis(decodeEngine, generation);
             double local = EngineEstimate.localMillis(decodeEngine, generation);
@@ -97,18 +121,48 @@
         return one == null || other.cost() < one.cost() ? other : one;
     }
 
-    private Optional<PrefillChoice> bestPrefill(Generation generation, List<EngineState> prefillEngines) {
+    private Optional<PrefillChoice> bestPrefill(
+            Generation generation, List<EngineState> prefillEngines, double targetMillis) {
         Optional<EndpointId> preferred = preferred(generation.subject(), prefillEngines);
-        PrefillChoice best = null;
-        for (EngineState engine : prefillEngines) {
-            double millis = EngineEstimate.prefillMillis(engine, generation);
-            double discount = preferred.filter(engine.endpoint().id()::equals).isPresent() ? PREFERENCE_MILLIS : 0;
-            double cost = millis + domainMillis(engine) - discount;
-            if (best == null || cost < best.cost()) {
-                best = new PrefillChoice(engine, millis, cost);
-            }
-        }
-        return Optional.ofNullable(best);
+        List<PrefillChoice> choices = prefillEngines.stream()
+                .map(engine -> prefillChoice(generation, engine, preferred))
+                .toList();
+        Optional<PrefillChoice> other = choices.stream()
+                .filter(choice -> !isFast(choice.engine()) && wouldDo(choice, generation, targetMillis))
+                .min(Comparator.comparingDouble(PrefillChoice::cost));
+        return choices.stream()
+                .map(choice ->
+                        other.map(slower -> reserve(choice, slower, generation)).orElse(choice))
+                .min(Comparator.comparingDouble(PrefillChoice::cost));
+    }
+
+    private PrefillChoice prefillChoice(Generation generation, EngineState engine, Optional<EndpointId> preferred) {
+        double millis = EngineEstimate.prefillMillis(engine, generation);
+        double discount = preferred.filter(engine.endpoint().id()::equals).isPresent() ? PREFERENCE_MILLIS : 0;
+        return new PrefillChoice(engine, millis, millis + domainMillis(engine) - discount);
+    }
+
+    private static boolean isFast(EngineState engine) {
+        return engine.slowness() < FAST_RATIO;
+    }
+
+    private static boolean wouldDo(PrefillChoice choice, Generation generation, double targetMillis) {
+        double firstEventMillis =
+                choice.millis() + EngineEstimate.firstEventAfterTransferMillis(choice.engine(), generation);
+        return firstEventMillis <= COMFORTABLE_SHARE * targetMillis
+                && EngineEstimate.prefillWaitMillis(choice.engine()) <= MAX_RESERVING_WAIT_MILLIS;
+    }
+
+    /**
+     * Raises the cost of a fast engine above that of a slower one that would do, unless it has more of the prompt
+     * cached.
+     */
+    private static PrefillChoice reserve(PrefillChoice choice, PrefillChoice slower, Generation generation) {
+        boolean reserved = isFast(choice.engine())
+                && EngineEstimate.uncachedTokens(choice.engine(), generation)
+                        >= EngineEstimate.uncachedTokens(slower.engine(), generation);
+        double cost = reserved ? Math.max(choice.cost(), slower.cost() + RESERVED_MILLIS) : choice.cost();
+        return new PrefillChoice(choice.engine(), choice.millis(), cost);
     }
 
     private double penaltyMillis(EngineState engine, Generation generation) {
--- a/policy/src/test/java/org/ragwortpitch/placement/EngineSpeedsTest.java
+++ b/policy/src/test/java/org/ragwortpitch/placement/EngineSpeedsTest.java
@@ -238,6 +238,38 @@
         assertEquals(stepMillis, engine.speed().stepMillis(), 0.5);
     }
 
+    /** Guards against short prompts on the engines that long ones need, and against fast engines that idle. */
+    @ParameterizedTest
+    @CsvSource({
+        "800, 800, 0, false, slow",
+        "14000, 14000, 0, false, fast",
+        "800, 800, 4000, false, fast",
+        "800, 800, 0, true, fast"
+    })
+    void testFastEnginesAreLeftToLongPrompts(
+            int uncached, int promptTokens, long queuedOnSlow, boolean cachedOnFast, String expected) {
+        Learner learner = new Learner(6, 13);
+        for (int sample = 0; sample < 180; sample++) {
+            learner.prefill(sample % 6, actual(62, 30).prefillScaled(sample % 2 == 0 ? 0.7 : 1.7), 0.05, sample * 200);
+        }
+        List<EngineState> engines = new ArrayList<>(learner.engines);
+        engines.add(EngineChooserTest.engine("d", EndpointRole.DECODE, DOMAIN));
+        Generation generation = new Generation(
+                promptTokens, 100, List.of(new PrefixBlock(1, uncached / 2), new PrefixBlock(2, uncached / 2)));
+        for (int index = 0; index < 6; index++) {
+            learner.engine(index).requestStarted(0, index % 2 == 0 ? 0 : queuedOnSlow);
+            learner.engine(index).cache().sent(generation.parts().subList(0, cachedOnFast && index % 2 == 0 ? 1 : 0));
+        }
+        // The decode engine is too busy to prefill by itself.
+        engines.get(6).requestStarted(0, 20_000);
+        EngineState chosen = new EngineChooser(DOMAIN)
+                .choose(generation, engines, 500)
+                .orElseThrow()
+                .prefillEngine()
+                .orElseThrow();
+        assertEquals(expected, learner.engines.indexOf(chosen) % 2 == 0 ? "fast" : "slow");
+    }
+
     /** Guards against other placements in deployments whose engines match the nominal figures. */
     @Test
     void testEnginesOfNominalSpeedArePlacedAsBefore() {
@@ -258,7 +290,7 @@
                     100,
                     List.of(new PrefixBlock(random.nextInt(40), 400), new PrefixBlock(index, 100)));
             int queued = index % 3 * 500;
-            Placement now = chooser.choose(generation, measured).orElseThrow();
+            Placement now = chooser.choose(generation, measured, 400).orElseThrow();
             Placement before = chooser.choose(generation, fresh).orElseThrow();
             assertEquals(
                     before.prefillEngine().map(engine -> engine.endpoint().id()),
