--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -19,14 +19,16 @@
  * Selects engines of a pool for one generation among those that it has not tried: usable ones, or else any available
  * one. Confined to the traffic thread.
  *
- * @param homes   the regions that may serve the generation
- * @param domains the failure domains in those regions
+ * @param targetMillis the target for the time to the first event, in milliseconds
+ * @param homes        the regions that may serve the generation
+ * @param domains      the failure domains in those regions
  */
 record EngineSelector(
         EndpointTable endpoints,
         EngineChooser chooser,
         PoolId pool,
         Generation generation,
+        int targetMillis,
         Homes homes,
         Predicate<FailureDomain> domains) {
 
@@ -47,7 +49,8 @@
                 candidates.stream()
                         .filter(state -> !isDecoder(state) || hasVersion(state, version))
                         .map(EndpointState::engine)
-                        .toList());
+                        .toList(),
+                targetMillis);
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -187,6 +187,7 @@
         for (PoolReading reading : gossip.getReadingsList()) {
             context.demands().recordDirectPeer(peer, startMillis, new PoolId(reading.getPool()), reading.getTokens());
         }
+        EngineSpeedCodec.learn(context.endpoints(), peer, gossip.getEngineSpeedsList(), now);
         List<EndpointId> avoided =
                 gossip.getChangingList().stream().map(EndpointId::new).toList();
         context.endpoints().avoid(avoided, now + AVOID_MILLIS);
@@ -232,6 +233,7 @@
         for (PoolReading reading : gossip.getReadingsList()) {
             context.demands().recordPeer(domain, incarnation, new PoolId(reading.getPool()), reading.getTokens());
         }
+        EngineSpeedCodec.learn(context.endpoints(), domain, gossip.getEngineSpeedsList(), now);
         context.endpoints()
                 .avoid(
                         gossip.getChangingList().stream().map(EndpointId::new).toList(),
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
@@ -48,7 +48,14 @@
      */
     EngineSelector engines(EngineChooser chooser, PoolId pool, Generation generation, Exchange exchange) {
         Homes homes = Homes.of(exchange.route(), exchange.account());
-        return new EngineSelector(endpoints, chooser, pool, generation, homes, regions.endpointDomains(homes));
+        return new EngineSelector(
+                endpoints,
+                chooser,
+                pool,
+                generation,
+                exchange.route().targetMillis(),
+                homes,
+                regions.endpointDomains(homes));
     }
 
     /**
