Ignore times that no engine takes, and untold waits when planning

Also, short prefills of other daemons fall between two rounds of gossip, and make engines look slower. Change: a time below a fifth of the nominal one gives no sample. The planner counts a throughput up to a sixth below the nominal one as nominal, and lower ones 1.2 times; that factor is estimated, not measured.

--- a/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
@@ -31,6 +31,12 @@
     /** From this many streams on, delaying them weighs as much as delaying the new request. */
     private static final double FULL_WEIGHT_STREAMS = 8;
 
+    /**
+     * How much longer prefills may seem by waits of which no gossip has told, at the utilization that is planned for:
+     * two fifths of them wait, for half of another prefill on average.
+     */
+    private static final double UNTOLD_WAIT_FACTOR = 1.2;
+
     private static final double BITS_PER_BYTE = 8;
 
     private static final double BITS_PER_MEGABIT_MILLI = 1_000;
@@ -102,10 +108,12 @@
 
     /**
      * Estimates the prefill throughput of an engine over prompts of all lengths, in tokens per millisecond, set-up
-     * included.
+     * included. A speed somewhat below the nominal one counts as nominal, since waits of which no gossip has told make
+     * learned times longer.
      */
     public static double throughputTokensPerMilli(EngineSpeed speed) {
-        return PREFILL_TOKENS_PER_MILLI / speed.prefillTimeRelativeTo(EngineSpeed.NOMINAL);
+        double throughput = PREFILL_TOKENS_PER_MILLI / speed.prefillTimeRelativeTo(EngineSpeed.NOMINAL);
+        return Math.max(throughput, Math.min(PREFILL_TOKENS_PER_MILLI, UNTOLD_WAIT_FACTOR * throughput));
     }
 
     /**
--- a/policy/src/main/java/org/ragwortpitch/placement/EngineSpeeds.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineSpeeds.java
@@ -27,6 +27,12 @@
 
     private static final double MAX_SAMPLE_RATIO = 3;
 
+    /**
+     * Share of an engine's time at the nominal speed below which a sample tells nothing of its speed: the prompt was
+     * cached there unknown to this daemon, or events were held back on the way. Engines take 0.3 or more.
+     */
+    private static final double MIN_CREDIBLE_SHARE = 0.2;
+
     /** Tokens of one event, each of which takes a decode step. */
     private static final double TOKENS_PER_EVENT = 7;
 
@@ -43,7 +49,8 @@
         EngineState engine = queue.engine();
         double expectedMillis = engine.speed().prefillMillis(uncachedTokens, promptTokens);
         double waitMillis = queue.queuedTokens() / engine.speed().prefillTokensPerMilli();
-        if (waitMillis > MAX_WAIT_SHARE * expectedMillis) {
+        double nominalMillis = EngineSpeed.NOMINAL.prefillMillis(uncachedTokens, promptTokens);
+        if (waitMillis > MAX_WAIT_SHARE * expectedMillis || actualMillis < MIN_CREDIBLE_SHARE * nominalMillis) {
             return;
         }
         double boundedMillis = expectedMillis * boundedRatio((actualMillis - waitMillis) / expectedMillis);
@@ -68,8 +75,10 @@
         EngineState engine = queue.engine();
         double expectedMillis = engine.speed().firstEventMillis();
         double waitMillis = localWaitMillis(queue);
-        if (waitMillis <= MAX_WAIT_SHARE * expectedMillis && hasRoom(engine)) {
-            double ownMillis = actualMillis - waitMillis - EngineEstimate.transferMillis(engine, generation);
+        double ownMillis = actualMillis - waitMillis - EngineEstimate.transferMillis(engine, generation);
+        if (waitMillis <= MAX_WAIT_SHARE * expectedMillis
+                && ownMillis >= MIN_CREDIBLE_SHARE * EngineSpeed.NOMINAL.firstEventMillis()
+                && hasRoom(engine)) {
             record(
                     engine,
                     EngineSpeed.ofFirstEvent(expectedMillis * boundedRatio(ownMillis / expectedMillis)),
@@ -89,10 +98,11 @@
         EngineState engine = queue.engine();
         double expectedMillis = EngineEstimate.localPrefillMillis(engine, uncachedTokens, promptTokens);
         double waitMillis = localWaitMillis(queue);
+        double ownMillis = actualMillis - waitMillis - engine.speed().firstEventMillis();
         if (expectedMillis > engine.speed().firstEventMillis()
                 && waitMillis <= MAX_WAIT_SHARE * expectedMillis
+                && ownMillis >= MIN_CREDIBLE_SHARE * expectedMillis
                 && hasRoom(engine)) {
-            double ownMillis = actualMillis - waitMillis - engine.speed().firstEventMillis();
             record(engine, engine.speed().prefillScaled(boundedRatio(ownMillis / expectedMillis)), nowMillis);
         }
     }
@@ -102,8 +112,9 @@
      */
     public void recordPauses(EngineState engine, double pauseMillis, long nowMillis) {
         double expectedMillis = engine.speed().stepMillis();
-        if (hasRoom(engine)) {
-            double ratio = boundedRatio(pauseMillis / TOKENS_PER_EVENT / expectedMillis);
+        double stepMillis = pauseMillis / TOKENS_PER_EVENT;
+        if (stepMillis >= MIN_CREDIBLE_SHARE * EngineSpeed.NOMINAL.stepMillis() && hasRoom(engine)) {
+            double ratio = boundedRatio(stepMillis / expectedMillis);
             record(engine, EngineSpeed.ofStep(expectedMillis * ratio), nowMillis);
         }
     }
--- a/policy/src/test/java/org/ragwortpitch/placement/EngineSpeedsTest.java
+++ b/policy/src/test/java/org/ragwortpitch/placement/EngineSpeedsTest.java
@@ -132,6 +132,17 @@
         assertTrue(learner.engine(0).slowness() > 1.1 && learner.engine(0).slowness() < 1.5);
     }
 
+    /** Guards against a prompt that was cached unknown to the daemon, and is taken for a fast engine. */
+    @Test
+    void testTimesThatNoEngineTakesTellNothing() {
+        Learner learner = new Learner(1, 14);
+        for (int sample = 0; sample < 20; sample++) {
+            learner.prefill(0, actual(5_000, 5), 0, sample * SECOND);
+            learner.speeds.recordPauses(learner.engine(0), 2, sample * SECOND);
+        }
+        assertEquals(EngineSpeed.NOMINAL, learner.engine(0).speed());
+    }
+
     /** Guards against engines that start at the nominal figures in a pool that has others. */
     @Test
     void testNewEngineStartsWithThePoolsFigures() {
