--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -8,6 +8,7 @@
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.GroupAssignment;
 import org.ragwortpitch.adapter.StoreCodec;
+import org.ragwortpitch.duty.DutyLease;
 import org.ragwortpitch.edge.http.CallResponse;
 import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.logging.Event;
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyLease.java
+++ b/policy/src/main/java/org/ragwortpitch/duty/DutyLease.java
@@ -1,12 +1,12 @@
-package org.ragwortpitch.edge.control;
+package org.ragwortpitch.duty;
 
 /**
  * Lease on the duties, derived from this daemon's membership of a group in the store. The lease runs from before the
  * answered call was sent, by a clock that also counts the time of a freeze. A daemon whose lease was interrupted acts
  * again only after a wait, so that two holders can't alternate within that time; where the platform doesn't check
- * fencing tokens, each new holder waits. Confined to the control thread.
+ * fencing tokens, each new holder waits. Confined to one thread.
  */
-final class DutyLease {
+public final class DutyLease {
 
     private final long ttlMillis;
     private final long waitMillis;
@@ -26,7 +26,7 @@
      * @param fenced     whether the platform checks fencing tokens
      * @param nowMillis  the present time; an earlier incarnation of this daemon may have acted until now
      */
-    DutyLease(long ttlMillis, long waitMillis, boolean fenced, long nowMillis) {
+    public DutyLease(long ttlMillis, long waitMillis, boolean fenced, long nowMillis) {
         this.ttlMillis = ttlMillis;
         this.waitMillis = waitMillis;
         this.fenced = fenced;
@@ -38,8 +38,9 @@
      *
      * @param assigned   whether the partition of the duties is assigned to this member
      * @param sentMillis when the call was sent
+     * @param nowMillis  the present time
      */
-    void onJoined(boolean assigned, long newGeneration, long sentMillis, long nowMillis) {
+    public void onJoined(boolean assigned, long newGeneration, long sentMillis, long nowMillis) {
         boolean stillHeld = held && nowMillis < expiresMillis;
         generation = newGeneration;
         held = assigned;
@@ -55,7 +56,7 @@
     /**
      * Releases the lease.
      */
-    void release() {
+    public void release() {
         held = false;
         interrupted = true;
     }
@@ -63,7 +64,7 @@
     /**
      * Releases the lease and forgets its generation, as the store has come back from an older copy.
      */
-    void forget() {
+    public void forget() {
         release();
         generation = 0;
     }
@@ -71,7 +72,7 @@
     /**
      * Returns whether this daemon may act now, and if so records the time as its last action.
      */
-    boolean mayAct(long nowMillis) {
+    public boolean mayAct(long nowMillis) {
         if (!held || nowMillis >= expiresMillis) {
             return false;
         }
@@ -88,7 +89,7 @@
      * Returns the newest generation that the store has reported; 0 if none. No two members hold the duties in one
      * generation.
      */
-    long generation() {
+    public long generation() {
         return generation;
     }
 }
