Report all due usage windows in one step of the holder

A new holder reported one window per two or three steps of 250 ms, so that after an outage of the store all windows came late. Now one step freezes all complete or urgent windows in one append and reports them one after the other, oldest first; the ledger is read to its end, page by page, without waiting for the next step, and the lease is checked before each report. The mark advances only if no frozen window would be left behind it.

Urgent windows are frozen no earlier than 1 s after the store's return, as without the former pauses the counts that daemons could not write during the outage would miss the freeze.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -124,7 +124,7 @@
 
     private Duty duty(BufferingHttpCaller caller, LongSupplier clockMillis, LongSupplier medianMillis) {
         if (settings.cloud().isEmpty()) {
-            return (token, refused) -> {};
+            return tenure -> {};
         }
         PlatformClient platform = new PlatformClient(caller, settings.cloud().get());
         UsageReporter reporter = new UsageReporter(
@@ -136,12 +136,12 @@
                 firstUsageWindow(medianMillis.getAsLong()));
         FleetScaler fleetScaler = new FleetScaler(platform, self.id(), clockMillis);
         EngineRoleAssigner roleAssigner = new EngineRoleAssigner(caller, self.id(), clockMillis);
-        return (token, refused) -> {
+        return tenure -> {
             reporter.updatePeerCounts(peerCounts);
-            reporter.step(token, medianMillis.getAsLong(), incarnations(), refused);
+            reporter.step(tenure, medianMillis.getAsLong(), incarnations());
             deployments.current().ifPresent(deployment -> deployment
                     .pools()
-                    .forEach(pool -> stepEngines(token, pool, fleetScaler, roleAssigner)));
+                    .forEach(pool -> stepEngines(tenure.fencingToken(), pool, fleetScaler, roleAssigner)));
         };
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Duty.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Duty.java
@@ -8,8 +8,6 @@
 
     /**
      * Carries out the work that is due.
-     *
-     * @param refused called when a call was refused because another holder has acted since
      */
-    void step(long fencingToken, Runnable refused);
+    void step(DutyTenure tenure);
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -149,8 +149,7 @@
     }
 
     private void step() {
-        boolean mayAct = !stopped && !suspended && lease.mayAct(leaseMillis.getAsLong());
-        OptionalLong token = mayAct ? tokens.token(lease.generation()) : OptionalLong.empty();
+        OptionalLong token = mayAct() ? tokens.token(lease.generation()) : OptionalLong.empty();
         if (token.isPresent() != acting) {
             acting = token.isPresent();
             Event.of(acting ? "duties-taken" : "duties-given-up")
@@ -158,11 +157,38 @@
                     .with("fencing-token", token.isPresent() ? token.getAsLong() : "-")
                     .info(LOGGER);
         }
-        token.ifPresent(known -> duty.step(known, () -> onRefused(known)));
+        token.ifPresent(known -> duty.step(new Tenure(known)));
     }
 
-    private void onRefused(long token) {
-        Event.of("duties-refused").with("fencing-token", token).warn(LOGGER);
-        lease.release();
+    private boolean mayAct() {
+        return !stopped && !suspended && lease.mayAct(leaseMillis.getAsLong());
+    }
+
+    /**
+     * The tenure of this daemon under one token.
+     */
+    private final class Tenure implements DutyTenure {
+
+        private final long token;
+
+        Tenure(long token) {
+            this.token = token;
+        }
+
+        @Override
+        public long fencingToken() {
+            return token;
+        }
+
+        @Override
+        public boolean mayAct() {
+            return DutyRunner.this.mayAct() && tokens.token(lease.generation()).equals(OptionalLong.of(token));
+        }
+
+        @Override
+        public void refused() {
+            Event.of("duties-refused").with("fencing-token", token).warn(LOGGER);
+            lease.release();
+        }
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.stream.LongStream;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.DutyCodec;
 import org.ragwortpitch.adapter.DutyRecordCodec;
@@ -21,6 +23,7 @@
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
+import org.ragwortpitch.ledger.DueWindows;
 import org.ragwortpitch.ledger.LedgerEntry;
 import org.ragwortpitch.ledger.ReportMark;
 import org.ragwortpitch.ledger.ReportMark.LedgerRange;
@@ -28,8 +31,9 @@
 import org.ragwortpitch.logging.Event;
 
 /**
- * Duty that reports usage for billing: reads the usage ledger, freezes each window's totals in it, and reports the
- * totals that were frozen first, so that any two reports of a window are equal. Where frozen totals may be gone, as the
+ * Duty that reports usage for billing: reads the usage ledger, freezes the totals of all windows that are due in one
+ * append, and reports the totals that were frozen first, oldest first and without pauses, so that any two reports of a
+ * window are equal. Where frozen totals may be gone, as the
  * ledger has expired or the store has come back from an older copy, the windows are left out. Confined to the control
  * thread.
  */
@@ -43,6 +47,12 @@
     /** Time before a report's deadline until which missing counts are awaited, in milliseconds. */
     private static final long REPORT_MARGIN_MILLIS = 2_000;
 
+    /**
+     * Time after the store's return within which daemons write the counts that they could not write before, in
+     * milliseconds: they try at most four calls, 250 ms apart.
+     */
+    private static final long REWRITE_MILLIS = 1_000;
+
     /** Windows after its own for which a report is attempted; later ones are of no use. */
     private static final int MAX_REPORT_AGE_WINDOWS = 6;
 
@@ -102,47 +112,47 @@
     }
 
     /**
-     * Starts the next step of the oldest unreported window, unless one is in progress or none is due.
+     * Starts to report all windows that are due, unless this is in progress.
      *
      * @param wallMillis the wall clock corrected to the median of the daemons' clocks
      * @param daemons    the incarnations whose counts are awaited
-     * @param refused    called when a report was refused because another holder has acted since
      */
-    void step(long fencingToken, long wallMillis, Set<DaemonIncarnation> daemons, Runnable refused) {
+    void step(DutyTenure tenure, long wallMillis, Set<DaemonIncarnation> daemons) {
         expectedWriters = daemons;
         nowMillis = wallMillis;
-        long last = Math.floorDiv(wallMillis - SETTLE_MILLIS, windowMillis) - 1;
-        reported.headSet(last - 2 * MAX_REPORT_AGE_WINDOWS).clear();
-        if (markedToken != fencingToken) {
-            markedToken = fencingToken;
+        reported.headSet(lastSettled() - 2 * MAX_REPORT_AGE_WINDOWS).clear();
+        if (markedToken != tenure.fencingToken()) {
+            markedToken = tenure.fencingToken();
             mark = Optional.empty();
         }
-        if (busy || mark.isPresent() && nextDue(last).isEmpty()) {
+        if (busy || mark.isPresent() && due().isEmpty()) {
             return;
         }
-        busy = true;
         if (mark.isEmpty()) {
-            loadMark();
+            loadMark(() -> freezeAndReport(tenure));
         } else {
-            readLedger(() -> nextDue(last).ifPresent(window -> advance(window, fencingToken, refused)));
+            readLedger(() -> freezeAndReport(tenure));
         }
     }
 
-    private Optional<Long> nextDue(long last) {
+    private long lastSettled() {
+        return Math.floorDiv(nowMillis - SETTLE_MILLIS, windowMillis) - 1;
+    }
+
+    private List<Long> due() {
+        long last = lastSettled();
         long first = mark.map(ReportMark::nextWindow).orElse(Long.MAX_VALUE);
-        for (long window = Math.max(first, last - MAX_REPORT_AGE_WINDOWS); window <= last; window++) {
-            if (!reported.contains(window)) {
-                return Optional.of(window);
-            }
-        }
-        return Optional.empty();
+        return LongStream.rangeClosed(Math.max(first, last - MAX_REPORT_AGE_WINDOWS), last)
+                .boxed()
+                .filter(window -> !reported.contains(window))
+                .toList();
     }
 
-    private void loadMark() {
+    private void loadMark(Runnable done) {
         callStore(StoreCodec.readCompacted(DutyRecordCodec.TOPIC, ""), response -> {
             try {
                 Optional<ReportMark> stored = storedMark(response);
-                readLedger(() -> resume(stored));
+                readLedger(() -> resume(stored, done));
             } catch (CodecException exception) {
                 logUnreadableMark(exception);
             }
@@ -177,7 +187,7 @@
                 .warn(LOGGER);
     }
 
-    private void resume(Optional<ReportMark> stored) {
+    private void resume(Optional<ReportMark> stored, Runnable done) {
         ReportMark resumed = ReportMark.resume(
                 stored,
                 store.era().orElse(0),
@@ -193,16 +203,18 @@
                 .info(LOGGER);
         if (stored.equals(Optional.of(resumed))) {
             mark = stored;
+            done.run();
         } else {
-            write(resumed);
+            write(resumed, done);
         }
     }
 
-    private void write(ReportMark next) {
+    private void write(ReportMark next, Runnable done) {
         byte[] record = StoreCodec.encodeKeyed(DutyRecordCodec.REPORT_MARK_KEY, DutyRecordCodec.encode(next));
         callStore(StoreCodec.append(DutyRecordCodec.TOPIC, List.of(record)), response -> {
             if (response.isOk()) {
                 mark = Optional.of(next);
+                done.run();
             }
         });
     }
@@ -227,20 +239,29 @@
                 });
     }
 
-    private void advance(long window, long fencingToken, Runnable refused) {
-        Optional<Map<AccountId, Long>> frozen = ledger.frozen(window);
-        if (frozen.isPresent()) {
-            report(window, frozen.get(), fencingToken, refused);
-        } else if (ledger.countedIncarnations(window).containsAll(expectedWriters) || isReportUrgent(window)) {
-            Map<AccountId, Long> totals = totals(window);
-            if (totals.isEmpty()) {
-                reported.add(window);
-            } else if (mark.orElseThrow().nextWindow() < window) {
-                write(mark.orElseThrow().advanceTo(window, offset));
-            } else {
-                freeze(window, totals);
-            }
+    private void freezeAndReport(DutyTenure tenure) {
+        DueWindows due = dueWindows();
+        if (!tenure.mayAct()) {
+            return;
         }
+        if (due.toFreeze().isEmpty()) {
+            report(due.frozen(), tenure);
+        } else if (due.allowAdvance(mark.orElseThrow(), ledger)) {
+            write(mark.orElseThrow().advanceTo(due.toFreeze().firstKey(), offset), () -> freeze(due, tenure));
+        } else {
+            freeze(due, tenure);
+        }
+    }
+
+    private DueWindows dueWindows() {
+        DueWindows due = DueWindows.of(ledger, due(), this::isComplete, this::totals);
+        reported.addAll(due.empty());
+        return due;
+    }
+
+    private boolean isComplete(long window) {
+        return ledger.countedIncarnations(window).containsAll(expectedWriters)
+                || isReportUrgent(window) && store.reachableForMillis() >= REWRITE_MILLIS;
     }
 
     private boolean isReportUrgent(long window) {
@@ -274,23 +295,37 @@
         peerCounts = counts;
     }
 
-    private void freeze(long window, Map<AccountId, Long> totals) {
-        LedgerEntry entry = new LedgerEntry(window, self, 0, 0, true, totals);
-        callStore(StoreCodec.append(UsageCodec.TOPIC, List.of(UsageCodec.encode(entry))), response -> {});
+    /** Freezes windows, and reports what the ledger then holds of them, as another daemon may have frozen them first. */
+    private void freeze(DueWindows due, DutyTenure tenure) {
+        List<byte[]> entries = due.toFreeze().entrySet().stream()
+                .map(window -> new LedgerEntry(window.getKey(), self, 0, 0, true, window.getValue()))
+                .map(UsageCodec::encode)
+                .toList();
+        callStore(
+                StoreCodec.append(UsageCodec.TOPIC, entries),
+                response -> readLedger(() -> report(dueWindows().frozen(), tenure)));
     }
 
-    private void report(long window, Map<AccountId, Long> counts, long fencingToken, Runnable refused) {
+    /** Reports frozen windows one after the other, oldest first, up to the first one that is not accepted. */
+    private void report(SortedMap<Long, Map<AccountId, Long>> frozen, DutyTenure tenure) {
+        if (frozen.isEmpty() || !tenure.mayAct()) {
+            return;
+        }
+        long window = frozen.firstKey();
         busy = true;
         long sentResets = resets;
         platform.call(
-                DutyCodec.usage(self, fencingToken, window, counts),
-                "usage of window " + window + " " + counts,
+                DutyCodec.usage(self, tenure.fencingToken(), window, frozen.get(window)),
+                "usage of window " + window + " " + frozen.get(window),
                 response -> {
                     endReport(sentResets);
                     if (response.isOk()) {
                         reported.add(window);
+                        if (sentResets == resets) {
+                            report(frozen.tailMap(window + 1), tenure);
+                        }
                     } else if (response.status() == CONFLICT) {
-                        refused.run();
+                        tenure.refused();
                     }
                 },
                 () -> endReport(sentResets));
@@ -302,10 +337,14 @@
         }
     }
 
+    /** Reads the ledger to its end, page by page. */
     private void readLedger(Runnable done) {
-        callStore(StoreCodec.read(UsageCodec.TOPIC, offset, 0), response -> {
+        long from = offset;
+        callStore(StoreCodec.read(UsageCodec.TOPIC, from, 0), response -> {
             if (applyPage(response)) {
                 done.run();
+            } else if (offset > from && response.isOk()) {
+                readLedger(done);
             }
         });
     }
--- a/policy/src/main/java/org/ragwortpitch/ledger/UsageLedger.java
+++ b/policy/src/main/java/org/ragwortpitch/ledger/UsageLedger.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import org.ragwortpitch.identity.AccountId;
@@ -49,6 +50,13 @@
         return Optional.ofNullable(frozen.get(window));
     }
 
+    /**
+     * Returns the latest window that is frozen; empty if none is.
+     */
+    public OptionalLong lastFrozen() {
+        return frozen.isEmpty() ? OptionalLong.empty() : OptionalLong.of(frozen.lastKey());
+    }
+
     /**
      * Returns the sums counted so far in a window, or an empty map if there are none.
      */
