Free the duties of members that ended while the store was away

The group kept the partition for a holder that stopped or was killed during an outage until its time to live of 3 s ran out after the store's return.

A daemon that stops while the store doesn't answer its leave tells the others by gossip (departed_members), who tell it on. The daemons that read the store closely make such members leave once the store answers, and renew their own membership at once. An entry of a later incarnation in the topic of daemons does the same for the earlier one; a daemon registers only after it has read its own earlier entry. Silent members are left alone, as they may be frozen. A leave that follows a join under way is sent after it, and a suspended daemon repeats a leave that failed.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -154,7 +154,12 @@
                 settings.domain(),
                 ConnectionPool.hostAndPort(front.address()),
                 ConnectionPool.hostAndPort(socket.address()));
-        gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced, this::onDeploymentAnnounced);
+        gossiper = new Gossiper(
+                gossipContext(),
+                socket::send,
+                this::onEndpointsAnnounced,
+                this::onDeploymentAnnounced,
+                this::onMembersDeparted);
         storeUpdates = newStoreUpdates();
         ready = listen(settings.readyAddress(), query -> readiness());
         AddressDirectory addresses = new AddressDirectory(
@@ -203,6 +208,10 @@
         controlLoop.execute(() -> control.deploymentAnnounced(version));
     }
 
+    private void onMembersDeparted(Collection<String> members) {
+        controlLoop.execute(() -> control.membersDeparted(members));
+    }
+
     private GossipContext gossipContext() {
         return new GossipContext(
                 self,
--- a/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/StoreUpdates.java
@@ -109,4 +109,9 @@
     public void onPoison(byte[] crashes) {
         trafficLoop.execute(() -> poison.mergeRecord(crashes, clockMillis.getAsLong(), medianMillis.getAsLong()));
     }
+
+    @Override
+    public void onDepartedMembers(List<String> members) {
+        trafficLoop.execute(() -> gossiper.setDepartedMembers(members));
+    }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedMap;
@@ -63,6 +64,9 @@
     /** Interval between checks for missing entries, in milliseconds: a tenth of the second left to act on one. */
     private static final long MISSING_CHECK_MILLIS = 100;
 
+    /** Interval between attempts to make departed members leave the duties' group, in milliseconds. */
+    private static final long DEPARTURES_MILLIS = 250;
+
     private final EventLoop loop;
     private final InstanceSettings settings;
     private final Daemon self;
@@ -76,12 +80,14 @@
     private final UsageWriter usage;
     private final PoisonRecorder poison;
     private final DutyRunner duties;
+    private final MemberDepartures departures;
     private final DeploymentFollower deployments;
     private Map<PoolId, PoolDemand> poolDemands = Map.of();
     private Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = Map.of();
     private Set<EndpointIncarnation> saidToLeave = Set.of();
     private Set<EndpointId> resting = Set.of();
     private TopicFollower endpointsFollower;
+    private boolean registered;
 
     /**
      * Creates a client of the store that is idle until {@link #start()}.
@@ -105,9 +111,9 @@
         this.self = self;
         this.listener = listener;
         this.clockMillis = clockMillis;
-        this.store = new StoreClient(
-                loop, caller, settings.storeAddress(), clockMillis, metrics, listener::onStoreReachable);
-        String incarnation = self.id().value() + "-" + self.startMillis();
+        this.store =
+                new StoreClient(loop, caller, settings.storeAddress(), clockMillis, metrics, this::onStoreReachable);
+        LongSupplier leaseMillis = new LeaseClock(clockMillis, wallMillis);
         this.deployments = new DeploymentFollower(
                 loop, store, settings.bounds().contactMillis(), clockMillis, listener::onDeployment);
         this.usage = new UsageWriter(loop, store, self);
@@ -115,11 +121,30 @@
         this.duties = new DutyRunner(
                 loop,
                 store,
-                incarnation,
-                new LeaseClock(clockMillis, wallMillis),
+                memberName(self),
+                leaseMillis,
                 settings.bounds().leaseMillis(),
                 settings.bounds().requireFencing(),
-                duty(caller, clockMillis, medianMillis));
+                duty(caller, clockMillis, medianMillis),
+                () -> learnDeparted(List.of(memberName(self)), "stop"));
+        this.departures = new MemberDepartures(
+                store, DutyRunner.GROUP, leaseMillis, listener::onDepartedMembers, duties::renewSoon);
+    }
+
+    /** Returns the name of an incarnation of a daemon as a member of the duties' group. */
+    private static String memberName(Daemon daemon) {
+        return daemon.id().value() + "-" + daemon.startMillis();
+    }
+
+    private void onStoreReachable(boolean reachable) {
+        listener.onStoreReachable(reachable);
+        if (reachable) {
+            departures.step();
+        }
+    }
+
+    private void learnDeparted(Collection<String> members, String source) {
+        departures.learn(members, source);
     }
 
     private Duty duty(BufferingHttpCaller caller, LongSupplier clockMillis, LongSupplier medianMillis) {
@@ -179,7 +204,6 @@
      */
     public void start() {
         store.onRestored(this::writeAgain);
-        register();
         deployments.start();
         long endpointsPauseMillis =
                 Math.max(ENDPOINTS_READ_MARGIN_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_READ_MARGIN_MILLIS);
@@ -192,6 +216,7 @@
         follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, () -> DAEMONS_WAIT_MILLIS, this::applyDaemons, reading -> {});
         follow(StoreCodec.POISON_TOPIC, 0, () -> POISON_WAIT_MILLIS, this::applyPoison, reading -> {});
         FaultBarrier.schedule(loop, "drop missing endpoints", MISSING_CHECK_MILLIS, this::dropMissing);
+        FaultBarrier.schedule(loop, "departed members", DEPARTURES_MILLIS, departures::step);
         duties.start();
     }
 
@@ -212,6 +237,17 @@
         poison.record(cause, crashes);
     }
 
+    /**
+     * Learns from another daemon of members of the duties' group that have stopped for good.
+     */
+    public void membersDeparted(Collection<String> members) {
+        learnDeparted(
+                members.stream()
+                        .filter(member -> !member.equals(memberName(self)))
+                        .toList(),
+                "gossip");
+    }
+
     /** Writes again what this daemon has written, as the store may have lost it. */
     private void writeAgain() {
         endpoints.forgetOffsets();
@@ -283,6 +319,7 @@
      */
     public void readStoreClosely(boolean closely) {
         deployments.readClosely(closely);
+        departures.callStore(closely);
     }
 
     /** Has a version of the configuration read that another daemon has applied. */
@@ -360,6 +397,11 @@
     }
 
     private void applyDaemons(List<KeyedRecord> records, boolean snapshot) {
+        if (!registered) {
+            // The earlier incarnation's entry was read before this one's replaces it.
+            registered = true;
+            register();
+        }
         // Entries that a restore of the store has taken are written again; until then gossip shows which daemons run.
         if (snapshot && store.era().equals(store.firstEra())) {
             daemons.clear();
@@ -379,13 +421,24 @@
             return;
         }
         try {
-            daemons.put(id, DaemonCodec.decode(entry.key(), entry.value()));
+            Daemon listed = DaemonCodec.decode(entry.key(), entry.value());
+            Optional<Daemon> before = Optional.ofNullable(daemons.put(id, listed));
             oddDaemons.forget(entry.key());
+            learnEarlier(before, listed);
+            if (id.equals(self.id())) {
+                learnEarlier(Optional.of(listed), self);
+            }
         } catch (CodecException exception) {
             oddDaemons.report(entry, exception);
         }
     }
 
+    /** Learns that an earlier incarnation of a daemon has ended, as a later one can't run beside it. */
+    private void learnEarlier(Optional<Daemon> earlier, Daemon later) {
+        earlier.filter(daemon -> daemon.startMillis() < later.startMillis())
+                .ifPresent(daemon -> learnDeparted(List.of(memberName(daemon)), "later-incarnation"));
+    }
+
     /**
      * Applies records of a topic; a snapshot replaces all earlier ones.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/ControlListener.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.edge.control;
 
 import java.util.Collection;
+import java.util.List;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.Deployment;
 import org.ragwortpitch.deployment.Endpoint;
@@ -49,4 +50,10 @@
      * @param crashes the crashes as {@link Control#recordPoison} got them
      */
     void onPoison(byte[] crashes);
+
+    /**
+     * Called with the members of the duties' group to tell other daemons of, as they have stopped for good, after each
+     * change.
+     */
+    void onDepartedMembers(List<String> members);
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -1,6 +1,7 @@
 package org.ragwortpitch.edge.control;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.lang.System.Logger;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -21,7 +22,7 @@
 
     private static final Logger LOGGER = System.getLogger(DutyRunner.class.getName());
 
-    private static final String GROUP = "duties";
+    static final String GROUP = "duties";
 
     private static final String TOPIC = "duties";
 
@@ -44,11 +45,16 @@
     private final DutyLease lease;
     private final FencingTokens tokens;
     private final Duty duty;
+    private final Runnable onLeaveFailed;
     private boolean acting;
     private boolean stopped;
     private boolean suspended = true;
+    /** Whether this member may be in the group. */
     private boolean joined;
 
+    private boolean joining;
+    private ScheduledFuture<?> nextRenewal;
+
     /**
      * Creates a runner that joins the group once it is started and no longer suspended.
      *
@@ -64,7 +70,8 @@
             LongSupplier leaseMillis,
             long waitMillis,
             boolean fenced,
-            Duty duty) {
+            Duty duty,
+            Runnable onLeaveFailed) {
         this.loop = loop;
         this.store = store;
         this.member = member;
@@ -72,6 +79,7 @@
         this.lease = new DutyLease(TTL_MILLIS, waitMillis, fenced, leaseMillis.getAsLong());
         this.tokens = new FencingTokens(store);
         this.duty = duty;
+        this.onLeaveFailed = onLeaveFailed;
         store.onRestored(lease::forget);
     }
 
@@ -104,32 +112,81 @@
 
     private void leaveGroup(Runnable done) {
         lease.release();
-        if (!joined) {
+        if (!joined || joining) {
+            // A join that is under way is followed by another call of this method.
             done.run();
             return;
         }
         joined = false;
-        store.call(StoreCodec.leave(GROUP, member), 0, response -> done.run(), reason -> done.run());
+        store.call(StoreCodec.leave(GROUP, member), 0, response -> done.run(), reason -> {
+            joined = true;
+            onLeaveUnanswered();
+            done.run();
+        });
+        if (stopped && !store.isReachable()) {
+            onLeaveFailed.run();
+        }
+    }
+
+    private void onLeaveUnanswered() {
+        if (stopped) {
+            onLeaveFailed.run();
+        } else {
+            store.retry(() -> {
+                if (suspended || stopped) {
+                    leaveGroup(() -> {});
+                }
+            });
+        }
+    }
+
+    /**
+     * Renews the membership ahead of schedule, as another member has left the group.
+     */
+    void renewSoon() {
+        if (nextRenewal != null && nextRenewal.cancel(false)) {
+            renew();
+        }
+    }
+
+    private void scheduleRenewal() {
+        nextRenewal = loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void renew() {
+        nextRenewal = null;
         if (stopped) {
             return;
         }
         if (suspended) {
-            loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
+            scheduleRenewal();
             return;
         }
         joined = true;
+        joining = true;
         long sent = leaseMillis.getAsLong();
         store.call(
                 StoreCodec.join(GROUP, member, TOPIC, TTL_MILLIS, lease.generation()),
                 0,
                 response -> {
-                    loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
-                    onJoined(response, sent);
+                    scheduleRenewal();
+                    onJoinEnded();
+                    if (!stopped && !suspended) {
+                        onJoined(response, sent);
+                    }
                 },
-                reason -> store.retry(this::renew));
+                reason -> {
+                    store.retry(this::renew);
+                    onJoinEnded();
+                });
+    }
+
+    /** Leaves the group if this was called for while a join was under way, which might undo it. */
+    private void onJoinEnded() {
+        joining = false;
+        if (stopped || suspended) {
+            leaveGroup(() -> {});
+        }
     }
 
     private void onJoined(CallResponse response, long sentMillis) {
@@ -143,6 +200,7 @@
                     assignment.generation(),
                     sentMillis,
                     leaseMillis.getAsLong());
+            step();
         } catch (CodecException exception) {
             Event.of("join-failed").with("reason", exception.getMessage()).warn(LOGGER);
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -41,6 +41,7 @@
     private final GossipContext context;
     private long sequence;
     private long endpointsChangedOffset = -1;
+    private List<String> departedMembers = List.of();
 
     GossipWriter(GossipContext context) {
         this.context = context;
@@ -57,6 +58,13 @@
         return newer;
     }
 
+    /**
+     * Sets the members of the duties' group to tell of, as they have stopped for good.
+     */
+    void setDepartedMembers(Collection<String> members) {
+        departedMembers = List.copyOf(members);
+    }
+
     /**
      * Encodes the account usage, request counts, engine load and crashes of this daemon.
      *
@@ -131,7 +139,8 @@
                 .addAllUnreachablePools(status.unreachablePoolNames())
                 .setStoreReachable(status.store().reachable())
                 .setDeploymentVersion(status.store().deploymentVersion())
-                .setWallMillis(context.wallMillis().getAsLong());
+                .setWallMillis(context.wallMillis().getAsLong())
+                .addAllDepartedMembers(departedMembers);
         context.endpoints()
                 .saidToLeave()
                 .forEach(endpoint -> gossip.addLeavingEndpoints(LeavingEndpoint.newBuilder()
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.EndpointIncarnation;
@@ -45,6 +46,9 @@
     /** As above for announcements of other failure domains, in milliseconds; gossip rounds between them are longer. */
     private static final long CROSS_DOMAIN_AVOID_MILLIS = 1_500;
 
+    /** Most departed members remembered as heard; beyond it, they are passed on once more. */
+    private static final int MAX_HEARD_DEPARTED = 256;
+
     private final GossipContext context;
     private final PeerView peers;
     private final BiConsumer<String, byte[]> send;
@@ -53,6 +57,8 @@
     private final LongConsumer onEndpointsChanged;
     private final Map<EndpointId, Long> peerAvoidedUntilMillis = new HashMap<>();
     private final LongConsumer onDeploymentAnnounced;
+    private final Consumer<Collection<String>> onMembersDeparted;
+    private final Set<String> heardDeparted = new HashSet<>();
     private long announcedVersion;
     private Collection<EndpointId> setChangingEndpoints = List.of();
 
@@ -63,15 +69,18 @@
      * @param onEndpointsChanged called with the store offset of a change of the endpoints that this daemon has not read
      * @param onDeploymentAnnounced called with each version of the configuration that another daemon is first heard to
      *                              have applied
+     * @param onMembersDeparted  called with members of the duties' group that have stopped for good, once each is heard
      */
     public Gossiper(
             GossipContext context,
             BiConsumer<String, byte[]> send,
             LongConsumer onEndpointsChanged,
-            LongConsumer onDeploymentAnnounced) {
+            LongConsumer onDeploymentAnnounced,
+            Consumer<Collection<String>> onMembersDeparted) {
         this.context = context;
         this.onEndpointsChanged = onEndpointsChanged;
         this.onDeploymentAnnounced = onDeploymentAnnounced;
+        this.onMembersDeparted = onMembersDeparted;
         this.peers = context.peers();
         this.send = send;
         this.writer = new GossipWriter(context);
@@ -122,6 +131,7 @@
             announcedVersion = gossip.getDeploymentVersion();
             onDeploymentAnnounced.accept(announcedVersion);
         }
+        receiveDeparted(gossip.getDepartedMembersList());
         long now = context.clockMillis().getAsLong();
         // Crashes, limits, the origins of streams and endpoints that leave count whoever reports them, also before the
         // list of daemons is
@@ -145,6 +155,16 @@
         }
     }
 
+    private void receiveDeparted(Collection<String> members) {
+        if (heardDeparted.size() > MAX_HEARD_DEPARTED) {
+            heardDeparted.clear();
+        }
+        List<String> news = members.stream().filter(heardDeparted::add).toList();
+        if (!news.isEmpty()) {
+            onMembersDeparted.accept(news);
+        }
+    }
+
     private void receiveLimit(EndpointLimit limit, boolean direct, long nowMillis) {
         EndpointState state = context.endpoints().find(new EndpointId(limit.getEndpoint()));
         if (state != null && state.endpoint().startMillis() == limit.getBornMillis()) {
@@ -241,6 +261,13 @@
         writer.advanceEndpointsChanged(offset);
     }
 
+    /**
+     * Sets the members of the duties' group that other daemons are told of, as they have stopped for good.
+     */
+    public void setDepartedMembers(Collection<String> members) {
+        writer.setDepartedMembers(members);
+    }
+
     /**
      * Returns a copy of the request counts received from other daemons, by usage window, incarnation and account.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -43,6 +43,8 @@
 
     private static final long POLL_MILLIS = 20;
 
+    private static final long TTL_MILLIS = 3_000;
+
     private final TestEventLoop loops = new TestEventLoop();
     private final Map<String, List<byte[]>> topics = new HashMap<>();
     private final List<String> duties = new CopyOnWriteArrayList<>();
@@ -107,6 +109,24 @@
         down = isDown;
     }
 
+    /**
+     * Serves calls again; the members of the duties' group are as before the outage, with their whole time to live.
+     */
+    public void returnWithMembers() {
+        onLoop(() -> {
+            memberExpiryMillis.replaceAll((member, expiry) -> TestEventLoop.CLOCK_MILLIS.getAsLong() + TTL_MILLIS);
+            down = false;
+            return true;
+        });
+    }
+
+    /**
+     * Returns the member that has the duties now or had them last; empty if none has.
+     */
+    public String dutyHolder() {
+        return onLoop(() -> holder == null ? "" : holder);
+    }
+
     /**
      * Returns how many calls it has refused as it was down.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -264,6 +265,20 @@
         assertTrue(started.state().endpoint().leaving());
     }
 
+    /** Guards against a member that stays in the duties' group as only a daemon knew of its stop that stops as well. */
+    @Test
+    void testDepartedMemberIsKnownToAllDaemonsAndToNewOnes() {
+        members.get("a2").gossiper.setDepartedMembers(List.of("a2-1"));
+        advance(SECOND_MILLIS);
+        members.remove("a2");
+        members.values().forEach(member -> assertEquals(Set.of("a2-1"), member.departed));
+        Member started = new Member("b2");
+        members.put("b2", started);
+        started.applyListing();
+        advance(4 * SECOND_MILLIS);
+        assertEquals(Set.of("a2-1"), started.departed);
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
@@ -292,6 +307,7 @@
         private final StreamOrigins origins = new StreamOrigins();
         private final EndpointTable endpoints;
         private final Gossiper gossiper;
+        private final Set<String> departed = new TreeSet<>();
         private long endpointsChanged = -1;
         private long deploymentAnnounced;
         private PeerStatus status = PeerStatus.of(true);
@@ -338,7 +354,18 @@
                     () -> nowMillis,
                     () -> nowMillis);
             gossiper = new Gossiper(
-                    context, this::send, offset -> endpointsChanged = offset, version -> deploymentAnnounced = version);
+                    context,
+                    this::send,
+                    offset -> endpointsChanged = offset,
+                    version -> deploymentAnnounced = version,
+                    members -> {
+                        departed.addAll(members);
+                        tellDeparted();
+                    });
+        }
+
+        private void tellDeparted() {
+            gossiper.setDepartedMembers(departed);
         }
 
         void applyListing() {
