Let a new holder without fencing wait only for calls of the last one

Where the platform doesn't check fencing tokens, each new holder waited LeaseMs from its assignment, and again whenever its lease had lapsed in an outage. That was longer than needed in these cases, and too short after its own late calls and after a leave that was executed late.

A holder now records its token and name in keyed.duties before it acts. The next one waits LeaseMs from when it learned that this member had ended, if the token is the one just before its own, else from the assignment. A holder that keeps its generation doesn't wait. Twice LeaseMs lie between actions of one daemon with another holder between them, as the first may be executed late. Joins sent within LeaseMs after an unanswered leave don't count. With fencing, the lease decides as before.

Tokens also count the eras since the first known one, which is now read in each generation: a daemon that had cached a later first era gave lower tokens than a holder before it.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -126,7 +126,8 @@
                 settings.bounds().leaseMillis(),
                 settings.bounds().requireFencing(),
                 duty(caller, clockMillis, medianMillis),
-                () -> learnDeparted(List.of(memberName(self)), "stop"));
+                () -> learnDeparted(List.of(memberName(self)), "stop"),
+                this::endedMillis);
         this.departures = new MemberDepartures(
                 store, DutyRunner.GROUP, leaseMillis, listener::onDepartedMembers, duties::renewSoon);
     }
@@ -143,6 +144,10 @@
         }
     }
 
+    private OptionalLong endedMillis(String member) {
+        return departures.endedMillis(member);
+    }
+
     private void learnDeparted(Collection<String> members, String source) {
         departures.learn(members, source);
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.GroupAssignment;
@@ -43,7 +44,10 @@
     private final String member;
     private final LongSupplier leaseMillis;
     private final DutyLease lease;
+    private final boolean fenced;
     private final FencingTokens tokens;
+    private final HolderRecords holders;
+    private final Function<String, OptionalLong> endedMillis;
     private final Duty duty;
     private final Runnable onLeaveFailed;
     private boolean acting;
@@ -71,15 +75,19 @@
             long waitMillis,
             boolean fenced,
             Duty duty,
-            Runnable onLeaveFailed) {
+            Runnable onLeaveFailed,
+            Function<String, OptionalLong> endedMillis) {
         this.loop = loop;
         this.store = store;
         this.member = member;
         this.leaseMillis = leaseMillis;
         this.lease = new DutyLease(TTL_MILLIS, waitMillis, fenced, leaseMillis.getAsLong());
-        this.tokens = new FencingTokens(store);
+        this.fenced = fenced;
+        this.tokens = new FencingTokens(store, this::step);
+        this.holders = new HolderRecords(store, member, this::step);
         this.duty = duty;
         this.onLeaveFailed = onLeaveFailed;
+        this.endedMillis = endedMillis;
         store.onRestored(lease::forget);
     }
 
@@ -118,8 +126,10 @@
             return;
         }
         joined = false;
+        long sent = leaseMillis.getAsLong();
         store.call(StoreCodec.leave(GROUP, member), 0, response -> done.run(), reason -> {
             joined = true;
+            lease.leaveUnanswered(sent);
             onLeaveUnanswered();
             done.run();
         });
@@ -207,7 +217,7 @@
     }
 
     private void step() {
-        OptionalLong token = mayAct() ? tokens.token(lease.generation()) : OptionalLong.empty();
+        OptionalLong token = actingToken();
         if (token.isPresent() != acting) {
             acting = token.isPresent();
             Event.of(acting ? "duties-taken" : "duties-given-up")
@@ -218,8 +228,33 @@
         token.ifPresent(known -> duty.step(new Tenure(known)));
     }
 
-    private boolean mayAct() {
-        return !stopped && !suspended && lease.mayAct(leaseMillis.getAsLong());
+    /** Returns the token under which this daemon may act now; empty if it may not. */
+    private OptionalLong actingToken() {
+        long now = leaseMillis.getAsLong();
+        if (stopped || suspended || !lease.isHeld(now)) {
+            return OptionalLong.empty();
+        }
+        OptionalLong token = tokens.token(lease.generation());
+        if (token.isEmpty() || !fenced && !isRecorded(token.getAsLong())) {
+            return OptionalLong.empty();
+        }
+        return lease.mayAct(now) ? token : OptionalLong.empty();
+    }
+
+    private boolean isRecorded(long token) {
+        if (!holders.isRecorded(token)) {
+            return false;
+        }
+        holders.predecessor().filter(holder -> holder.isJustBefore(token)).ifPresent(holder -> endedMillis
+                .apply(holder.member())
+                .ifPresent(ended -> lease.predecessorEnded(ended, isSameDaemon(holder.member()))));
+        return true;
+    }
+
+    /** Names of members end with the start time of the daemon's incarnation. */
+    private boolean isSameDaemon(String other) {
+        return other.substring(0, Math.max(0, other.lastIndexOf('-')))
+                .equals(member.substring(0, member.lastIndexOf('-')));
     }
 
     /**
@@ -240,7 +275,7 @@
 
         @Override
         public boolean mayAct() {
-            return DutyRunner.this.mayAct() && tokens.token(lease.generation()).equals(OptionalLong.of(token));
+            return actingToken().equals(OptionalLong.of(token));
         }
 
         @Override
--- a/edge/src/main/java/org/ragwortpitch/edge/control/FencingTokens.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/FencingTokens.java
@@ -22,43 +22,57 @@
     /** Exceeds the generations of one era: at one change a second, they would last for a century. */
     private static final long TOKENS_PER_ERA = 1L << 32;
 
+    private static final long NONE = -1;
+
     private final StoreClient store;
     private long firstEra = Long.MAX_VALUE;
-    private boolean recorded;
+    private final Runnable onKnown;
+    private long recordedGeneration = NONE;
     private boolean busy;
 
-    FencingTokens(StoreClient store) {
+    /**
+     * Creates tokens that are not known yet.
+     *
+     * @param onKnown called once the token of a generation is known
+     */
+    FencingTokens(StoreClient store, Runnable onKnown) {
         this.store = store;
+        this.onKnown = onKnown;
         store.onRestored(() -> {
-            recorded = false;
+            recordedGeneration = NONE;
             busy = false;
         });
     }
 
     /**
-     * Returns the token of a generation; empty until the store has the first era, which the call makes sure of.
+     * Returns the token of a generation; empty until the store has the first era, which the call makes sure of. The
+     * first era is read in each generation, as an earlier holder may have known an earlier one: its tokens were higher.
      */
     OptionalLong token(long generation) {
         OptionalLong era = store.era();
         if (era.isEmpty()) {
             return OptionalLong.of(generation);
         }
-        if (!recorded) {
-            load();
+        if (recordedGeneration != generation) {
+            load(generation);
             return OptionalLong.empty();
         }
         return OptionalLong.of((era.getAsLong() - firstEra) * TOKENS_PER_ERA + generation);
     }
 
-    private void load() {
+    private void load(long generation) {
         if (busy) {
             return;
         }
         busy = true;
-        store.call(StoreCodec.readCompacted(DutyRecordCodec.TOPIC, ""), 0, this::onLoaded, reason -> busy = false);
+        store.call(
+                StoreCodec.readCompacted(DutyRecordCodec.TOPIC, ""),
+                0,
+                response -> onLoaded(response, generation),
+                reason -> busy = false);
     }
 
-    private void onLoaded(CallResponse response) {
+    private void onLoaded(CallResponse response, long generation) {
         busy = false;
         try {
             OptionalLong known = storedEra(response);
@@ -66,15 +80,20 @@
                     firstEra,
                     Math.min(known.orElse(Long.MAX_VALUE), store.firstEra().orElseThrow()));
             if (known.isPresent() && known.getAsLong() == firstEra) {
-                recorded = true;
+                know(generation);
             } else {
-                record();
+                record(generation);
             }
         } catch (CodecException exception) {
             logUnreadable(exception);
         }
     }
 
+    private void know(long generation) {
+        recordedGeneration = generation;
+        onKnown.run();
+    }
+
     private static void logUnreadable(CodecException exception) {
         Event.of("first-era-unreadable").with("reason", exception.getMessage()).warn(LOGGER);
     }
@@ -101,7 +120,7 @@
         }
     }
 
-    private void record() {
+    private void record(long generation) {
         busy = true;
         byte[] record = StoreCodec.encodeKeyed(DutyRecordCodec.FIRST_ERA_KEY, DutyRecordCodec.encodeFirstEra(firstEra));
         store.call(
@@ -109,7 +128,9 @@
                 0,
                 response -> {
                     busy = false;
-                    recorded = response.isOk();
+                    if (response.isOk()) {
+                        know(generation);
+                    }
                 },
                 reason -> busy = false);
     }
--- a/edge/src/main/java/org/ragwortpitch/edge/control/MemberDepartures.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/MemberDepartures.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -70,6 +71,13 @@
         step();
     }
 
+    /**
+     * Returns a time at which the process of a member had ended; empty if it is not known to have ended.
+     */
+    OptionalLong endedMillis(String member) {
+        return departed.endedMillis(member);
+    }
+
     /**
      * Tells of departed members, and makes them leave if the store answers. Called periodically, and once the store
      * answers again.
--- a/edge/src/test/java/org/ragwortpitch/edge/DutiesTakeOverTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/DutiesTakeOverTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
@@ -33,6 +33,9 @@
     /** Time within which the duties are taken after the store's return; the group frees a silent member after 3 s. */
     private static final long TAKEN_MILLIS = 2_000;
 
+    /** Time for which a new holder would wait without fencing if it didn't know that the last one had stopped. */
+    private static final long LEASE_MILLIS = 3_000;
+
     /** Time within which all due windows are reported once one is. */
     private static final long REPORTED_MILLIS = 1_000;
 
@@ -84,10 +87,10 @@
 
     /** Guards against windows that are late as the store holds a duty for a member that has ended, then away again. */
     @ParameterizedTest
-    @EnumSource(End.class)
-    void testDutiesAreTakenSoonAfterTheStoresReturn(End end) throws Exception {
-        Edge holder = daemons.start("front-1");
-        Edge other = daemons.start("front-2");
+    @CsvSource({"STOPPED, true", "STOPPED, false", "KILLED_AND_STARTED_AGAIN, true"})
+    void testDutiesAreTakenSoonAfterTheStoresReturn(End end, boolean fenced) throws Exception {
+        Edge holder = start("front-1", fenced);
+        Edge other = start("front-2", fenced);
         TestDaemons.await(() -> {
             serve(other, 1);
             return !reportedWindows().isEmpty();
@@ -113,12 +116,18 @@
         long takenMillis = TestEventLoop.CLOCK_MILLIS.getAsLong() - returnMillis;
         assertTrue(takenMillis < TAKEN_MILLIS, "taken after " + takenMillis + " ms");
         TestDaemons.await(() -> !before.containsAll(reportedWindows()));
+        long reportedMillis = TestEventLoop.CLOCK_MILLIS.getAsLong() - returnMillis;
+        assertTrue(reportedMillis < LEASE_MILLIS, "first report after " + reportedMillis + " ms");
         Thread.sleep(REPORTED_MILLIS);
         Set<String> reported = reportedWindows();
         reported.removeAll(before);
         assertTrue(reported.size() >= 2, "reported within a second: " + reported);
     }
 
+    private Edge start(String instance, boolean fenced) throws Exception {
+        return fenced ? daemons.start(instance) : daemons.startWithoutFencing(instance);
+    }
+
     private void startAgain(CompletableFuture<Edge> again) {
         try {
             again.complete(daemons.startAgain("front-1"));
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/Settings.java
@@ -54,6 +54,26 @@
         return of(instance, storeAddress, bounds(0.2, 50, 2_000, 5_000), false);
     }
 
+    /**
+     * Returns settings of a platform that doesn't check fencing tokens, with the platform's usual lease time.
+     */
+    public static InstanceSettings withoutFencing(String instance, String storeAddress) {
+        InstanceSettings.Bounds usual = bounds(0.2, 50, 2_000, 5_000);
+        InstanceSettings.Bounds bounds = new InstanceSettings.Bounds(
+                usual.contactMillis(),
+                usual.drainMillis(),
+                usual.graceMillis(),
+                usual.retryRatio(),
+                usual.retrySlack(),
+                usual.retryWindowMillis(),
+                false,
+                3_000,
+                usual.usageWindowMillis(),
+                usual.usageLateMillis(),
+                usual.maxTtlSeconds());
+        return of(instance, storeAddress, bounds, true);
+    }
+
     /**
      * Returns settings under which no request may be sent more than once.
      */
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/TestDaemons.java
@@ -73,6 +73,13 @@
         return start(Settings.withAmpleRetryBudget(instance, storeAddress));
     }
 
+    /**
+     * Starts a daemon on a platform that doesn't check fencing tokens, and waits until it is ready.
+     */
+    public Edge startWithoutFencing(String instance) throws Exception {
+        return start(Settings.withoutFencing(instance, store.address()));
+    }
+
     private Edge start(InstanceSettings settings) throws Exception {
         Edge edge = closer.add(new Edge(settings, 0, TestEventLoop.CLOCK_MILLIS, System::currentTimeMillis));
         edge.start();
--- a/policy/src/main/java/org/ragwortpitch/duty/DepartedMembers.java
+++ b/policy/src/main/java/org/ragwortpitch/duty/DepartedMembers.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 
 /**
@@ -74,6 +75,14 @@
         return told.subList(Math.max(0, told.size() - MAX_TOLD), told.size());
     }
 
+    /**
+     * Returns a time at which the process of a member had ended; empty if it is not known to have ended.
+     */
+    public OptionalLong endedMillis(String member) {
+        Departure departure = known.get(member);
+        return departure == null ? OptionalLong.empty() : OptionalLong.of(departure.learnedMillis);
+    }
+
     /**
      * Returns the members that may still be in the group.
      */
--- a/policy/src/main/java/org/ragwortpitch/duty/DutyLease.java
+++ b/policy/src/main/java/org/ragwortpitch/duty/DutyLease.java
@@ -1,13 +1,21 @@
 package org.ragwortpitch.duty;
 
+import java.util.OptionalLong;
+
 /**
  * Lease on the duties, derived from this daemon's membership of a group in the store. The lease runs from before the
  * answered call was sent, by a clock that also counts the time of a freeze. A daemon whose lease was interrupted acts
- * again only after a wait, so that two holders can't alternate within that time; where the platform doesn't check
- * fencing tokens, each new holder waits. Confined to one thread.
+ * again only after a wait, so that two holders can't alternate within that time.
+ *
+ * <p>Where the platform doesn't check fencing tokens, calls of an earlier holder have to be executed before the first
+ * action of the next. They are sent before the store assigns the duties anew, and executed within the same wait or not
+ * at all. So a new holder waits from the assignment, or from when it knew that the process of the holder just before it
+ * had ended; a holder that keeps its generation doesn't wait. Confined to one thread.
  */
 public final class DutyLease {
 
+    private static final long NONE = -1;
+
     private final long ttlMillis;
     private final long waitMillis;
     private final boolean fenced;
@@ -17,12 +25,18 @@
     private long acquiredMillis;
     private long expiresMillis;
     private long lastActMillis;
+    private long actedGeneration = NONE;
+    private long assignedGeneration = NONE;
+    private long leaveSettledMillis = Long.MIN_VALUE;
+    private OptionalLong predecessorEndedMillis = OptionalLong.empty();
+    private boolean predecessorIsSelf;
 
     /**
      * Creates a lease that isn't held.
      *
      * @param ttlMillis  time after which the store expires a silent member, in milliseconds
-     * @param waitMillis shortest time between actions of two alternating holders, in milliseconds
+     * @param waitMillis shortest time between actions of two alternating holders, in milliseconds; without fencing also
+     *                   the longest time after which a call without an answer is executed
      * @param fenced     whether the platform checks fencing tokens
      * @param nowMillis  the present time; an earlier incarnation of this daemon may have acted until now
      */
@@ -43,16 +57,39 @@
     public void onJoined(boolean assigned, long newGeneration, long sentMillis, long nowMillis) {
         boolean stillHeld = held && nowMillis < expiresMillis;
         generation = newGeneration;
-        held = assigned;
+        // A leave that was not answered may be executed after this call, and the duties assigned to another member.
+        held = assigned && (fenced || sentMillis >= leaveSettledMillis);
         expiresMillis = sentMillis + ttlMillis;
-        if (assigned && !stillHeld) {
+        if (held && assignedGeneration != newGeneration) {
+            assignedGeneration = newGeneration;
             acquiredMillis = nowMillis;
+            predecessorEndedMillis = OptionalLong.empty();
         }
-        if (!assigned || !stillHeld) {
+        if (!held || !stillHeld) {
             interrupted = true;
         }
     }
 
+    /**
+     * Records that a call by which this member leaves the group was not answered, so that it may be executed later.
+     *
+     * @param sentMillis when the call was sent
+     */
+    public void leaveUnanswered(long sentMillis) {
+        leaveSettledMillis = Math.max(leaveSettledMillis, sentMillis + waitMillis);
+    }
+
+    /**
+     * Records that the process of the holder just before this one has ended. Holds for the present generation.
+     *
+     * @param endedMillis a time at which that process had ended
+     * @param self        whether it was an earlier incarnation of this daemon
+     */
+    public void predecessorEnded(long endedMillis, boolean self) {
+        predecessorEndedMillis = OptionalLong.of(endedMillis);
+        predecessorIsSelf = self;
+    }
+
     /**
      * Releases the lease.
      */
@@ -67,24 +104,46 @@
     public void forget() {
         release();
         generation = 0;
+        actedGeneration = NONE;
+        assignedGeneration = NONE;
+    }
+
+    /**
+     * Returns whether the lease is held now, even if this daemon may not act yet.
+     */
+    public boolean isHeld(long nowMillis) {
+        return held && nowMillis < expiresMillis;
     }
 
     /**
      * Returns whether this daemon may act now, and if so records the time as its last action.
      */
     public boolean mayAct(long nowMillis) {
-        if (!held || nowMillis >= expiresMillis) {
-            return false;
-        }
-        long from = fenced ? lastActMillis : Math.max(lastActMillis, acquiredMillis);
-        if (interrupted && nowMillis - from < waitMillis) {
+        if (!isHeld(nowMillis) || nowMillis < (fenced ? fencedStartMillis() : unfencedStartMillis())) {
             return false;
         }
         interrupted = false;
+        actedGeneration = generation;
         lastActMillis = nowMillis;
         return true;
     }
 
+    private long fencedStartMillis() {
+        return interrupted ? lastActMillis + waitMillis : Long.MIN_VALUE;
+    }
+
+    private long unfencedStartMillis() {
+        if (actedGeneration == generation) {
+            return Long.MIN_VALUE;
+        }
+        long predecessorSettledMillis = predecessorEndedMillis.orElse(acquiredMillis) + waitMillis;
+        if (predecessorEndedMillis.isPresent() && predecessorIsSelf) {
+            return predecessorSettledMillis;
+        }
+        // The last call of this daemon may have been executed late, and another holder may have acted since.
+        return Math.max(predecessorSettledMillis, lastActMillis + 2 * waitMillis);
+    }
+
     /**
      * Returns the newest generation that the store has reported; 0 if none. No two members hold the duties in one
      * generation.
