Move listed daemons and announcements by gossip to classes of their own

DaemonRegistry takes the topic of daemons from Control, PeerAnnouncements replaces three consumers of Gossiper, StandinGroup takes the duties' group from StandinStore. No change of behaviour.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -155,11 +155,7 @@
                 ConnectionPool.hostAndPort(front.address()),
                 ConnectionPool.hostAndPort(socket.address()));
         gossiper = new Gossiper(
-                gossipContext(),
-                socket::send,
-                this::onEndpointsAnnounced,
-                this::onDeploymentAnnounced,
-                this::onMembersDeparted);
+                gossipContext(), socket::send, new AnnouncementsToControl(controlLoop, this::currentControl));
         storeUpdates = newStoreUpdates();
         ready = listen(settings.readyAddress(), query -> readiness());
         AddressDirectory addresses = new AddressDirectory(
@@ -200,16 +196,8 @@
         return table;
     }
 
-    private void onEndpointsAnnounced(long offset) {
-        controlLoop.execute(() -> control.endpointsChanged(offset));
-    }
-
-    private void onDeploymentAnnounced(long version) {
-        controlLoop.execute(() -> control.deploymentAnnounced(version));
-    }
-
-    private void onMembersDeparted(Collection<String> members) {
-        controlLoop.execute(() -> control.membersDeparted(members));
+    private Control currentControl() {
+        return control;
     }
 
     private GossipContext gossipContext() {
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -1,20 +1,14 @@
 package org.ragwortpitch.edge.control;
 
 import io.netty.channel.EventLoop;
-import java.lang.System.Logger;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
-import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.DaemonCodec;
 import org.ragwortpitch.adapter.InstanceSettings;
 import org.ragwortpitch.adapter.KeyedRecord;
@@ -28,10 +22,8 @@
 import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
-import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
-import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.poison.CrashCause;
 import org.ragwortpitch.scaling.PoolDemand;
 
@@ -41,8 +33,6 @@
  */
 public final class Control {
 
-    private static final Logger LOGGER = System.getLogger(Control.class.getName());
-
     /** Long-poll timeout for the daemons' topic, in milliseconds; long, because each call is billed. */
     private static final long DAEMONS_WAIT_MILLIS = 10_000;
 
@@ -59,8 +49,6 @@
     /** Long-poll timeout for causes of crashes, in milliseconds: the longest one, as gossip tells of them first. */
     private static final long POISON_WAIT_MILLIS = 30_000;
 
-    private static final long REGISTER_RETRY_MILLIS = 500;
-
     /** Interval between checks for missing entries, in milliseconds: a tenth of the second left to act on one. */
     private static final long MISSING_CHECK_MILLIS = 100;
 
@@ -75,8 +63,7 @@
     private final LongSupplier clockMillis;
     private final EndpointRegistry endpoints = new EndpointRegistry();
     private final FaultBarrier barrier = new FaultBarrier("apply record");
-    private final OddEntries oddDaemons = new OddEntries("daemon-unreadable", "daemon");
-    private final Map<InstanceId, Daemon> daemons = new HashMap<>();
+    private final DaemonRegistry daemons;
     private final UsageWriter usage;
     private final PoisonRecorder poison;
     private final DutyRunner duties;
@@ -87,7 +74,6 @@
     private Set<EndpointIncarnation> saidToLeave = Set.of();
     private Set<EndpointId> resting = Set.of();
     private TopicFollower endpointsFollower;
-    private boolean registered;
 
     /**
      * Creates a client of the store that is idle until {@link #start()}.
@@ -116,27 +102,24 @@
         LongSupplier leaseMillis = new LeaseClock(clockMillis, wallMillis);
         this.deployments = new DeploymentFollower(
                 loop, store, settings.bounds().contactMillis(), clockMillis, listener::onDeployment);
+        this.daemons = new DaemonRegistry(
+                loop, store, self, listener::onDaemons, ended -> learnDeparted(List.of(ended), "later-incarnation"));
         this.usage = new UsageWriter(loop, store, self);
         this.poison = new PoisonRecorder(loop, store);
         this.duties = new DutyRunner(
                 loop,
                 store,
-                memberName(self),
+                DaemonRegistry.memberName(self),
                 leaseMillis,
                 settings.bounds().leaseMillis(),
                 settings.bounds().requireFencing(),
                 duty(caller, clockMillis, medianMillis),
-                () -> learnDeparted(List.of(memberName(self)), "stop"),
+                () -> learnDeparted(List.of(DaemonRegistry.memberName(self)), "stop"),
                 this::endedMillis);
         this.departures = new MemberDepartures(
                 store, DutyRunner.GROUP, leaseMillis, listener::onDepartedMembers, duties::renewSoon);
     }
 
-    /** Returns the name of an incarnation of a daemon as a member of the duties' group. */
-    private static String memberName(Daemon daemon) {
-        return daemon.id().value() + "-" + daemon.startMillis();
-    }
-
     private void onStoreReachable(boolean reachable) {
         listener.onStoreReachable(reachable);
         if (reachable) {
@@ -168,7 +151,7 @@
         EngineRoleAssigner roleAssigner = new EngineRoleAssigner(caller, self.id(), clockMillis);
         return tenure -> {
             reporter.updatePeerCounts(peerCounts);
-            reporter.step(tenure, medianMillis.getAsLong(), incarnations());
+            reporter.step(tenure, medianMillis.getAsLong(), daemons.incarnations());
             deployments.current().ifPresent(deployment -> deployment
                     .pools()
                     .forEach(pool -> stepEngines(tenure.fencingToken(), pool, fleetScaler, roleAssigner)));
@@ -181,12 +164,6 @@
                 : OptionalLong.empty();
     }
 
-    private Set<DaemonIncarnation> incarnations() {
-        return daemons.values().stream()
-                .map(daemon -> new DaemonIncarnation(daemon.id(), daemon.startMillis()))
-                .collect(Collectors.toSet());
-    }
-
     private void stepEngines(long token, Pool pool, FleetScaler fleetScaler, EngineRoleAssigner roleAssigner) {
         Collection<Endpoint> listed = endpoints.endpoints().stream()
                 .map(engine -> saidToLeave.contains(engine.incarnation()) ? engine.asLeaving() : engine)
@@ -218,7 +195,7 @@
                 () -> 0,
                 this::applyEndpoints,
                 reading -> listener.onEndpointsRead(endpoints.reading(reading)));
-        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, () -> DAEMONS_WAIT_MILLIS, this::applyDaemons, reading -> {});
+        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, () -> DAEMONS_WAIT_MILLIS, daemons::apply, reading -> {});
         follow(StoreCodec.POISON_TOPIC, 0, () -> POISON_WAIT_MILLIS, this::applyPoison, reading -> {});
         FaultBarrier.schedule(loop, "drop missing endpoints", MISSING_CHECK_MILLIS, this::dropMissing);
         FaultBarrier.schedule(loop, "departed members", DEPARTURES_MILLIS, departures::step);
@@ -248,7 +225,7 @@
     public void membersDeparted(Collection<String> members) {
         learnDeparted(
                 members.stream()
-                        .filter(member -> !member.equals(memberName(self)))
+                        .filter(member -> !member.equals(DaemonRegistry.memberName(self)))
                         .toList(),
                 "gossip");
     }
@@ -256,7 +233,7 @@
     /** Writes again what this daemon has written, as the store may have lost it. */
     private void writeAgain() {
         endpoints.forgetOffsets();
-        register();
+        daemons.register();
         poison.recordAllAgain();
     }
 
@@ -341,24 +318,6 @@
         duties.leave(done);
     }
 
-    private void register() {
-        byte[] record = StoreCodec.encodeKeyed(self.id().value(), DaemonCodec.encode(self));
-        store.call(
-                StoreCodec.append(DaemonCodec.TOPIC, List.of(record)),
-                0,
-                response -> {
-                    if (!response.isOk()) {
-                        retryRegister("status " + response.status());
-                    }
-                },
-                this::retryRegister);
-    }
-
-    private void retryRegister(String reason) {
-        Event.of("daemon-not-listed").with("reason", reason).info(LOGGER);
-        loop.schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     private TopicFollower follow(
             String topic,
             long pauseMillis,
@@ -401,49 +360,6 @@
         }
     }
 
-    private void applyDaemons(List<KeyedRecord> records, boolean snapshot) {
-        if (!registered) {
-            // The earlier incarnation's entry was read before this one's replaces it.
-            registered = true;
-            register();
-        }
-        // Entries that a restore of the store has taken are written again; until then gossip shows which daemons run.
-        if (snapshot && store.era().equals(store.firstEra())) {
-            daemons.clear();
-        }
-        records.forEach(entry -> barrier.run(entry.key(), () -> applyDaemon(entry)));
-        listener.onDaemons(daemons.values().stream()
-                .filter(daemon -> !daemon.id().equals(self.id()))
-                .toList());
-    }
-
-    /** Applies an entry. One that can't be used leaves the daemon's earlier one, as gossip shows whether it runs. */
-    private void applyDaemon(KeyedRecord entry) {
-        InstanceId id = new InstanceId(entry.key());
-        if (entry.value().length == 0) {
-            daemons.remove(id);
-            oddDaemons.forget(entry.key());
-            return;
-        }
-        try {
-            Daemon listed = DaemonCodec.decode(entry.key(), entry.value());
-            Optional<Daemon> before = Optional.ofNullable(daemons.put(id, listed));
-            oddDaemons.forget(entry.key());
-            learnEarlier(before, listed);
-            if (id.equals(self.id())) {
-                learnEarlier(Optional.of(listed), self);
-            }
-        } catch (CodecException exception) {
-            oddDaemons.report(entry, exception);
-        }
-    }
-
-    /** Learns that an earlier incarnation of a daemon has ended, as a later one can't run beside it. */
-    private void learnEarlier(Optional<Daemon> earlier, Daemon later) {
-        earlier.filter(daemon -> daemon.startMillis() < later.startMillis())
-                .ifPresent(daemon -> learnDeparted(List.of(memberName(daemon)), "later-incarnation"));
-    }
-
     /**
      * Applies records of a topic; a snapshot replaces all earlier ones.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/UsageReporter.java
@@ -295,7 +295,7 @@
         peerCounts = counts;
     }
 
-    /** Freezes windows, and reports what the ledger then holds of them, as another daemon may have frozen them first. */
+    /** Freezes windows, and reports what the ledger then holds, as another daemon may have frozen them first. */
     private void freeze(DueWindows due, DutyTenure tenure) {
         List<byte[]> entries = due.toFreeze().entrySet().stream()
                 .map(window -> new LedgerEntry(window.getKey(), self, 0, 0, true, window.getValue()))
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -9,8 +9,6 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.PrefixBlock;
@@ -54,10 +52,8 @@
     private final BiConsumer<String, byte[]> send;
     private final GossipWriter writer;
     private final PeerCounts counts = new PeerCounts();
-    private final LongConsumer onEndpointsChanged;
+    private final PeerAnnouncements announcements;
     private final Map<EndpointId, Long> peerAvoidedUntilMillis = new HashMap<>();
-    private final LongConsumer onDeploymentAnnounced;
-    private final Consumer<Collection<String>> onMembersDeparted;
     private final Set<String> heardDeparted = new HashSet<>();
     private long announcedVersion;
     private Collection<EndpointId> setChangingEndpoints = List.of();
@@ -66,21 +62,11 @@
      * Creates a gossiper without peers.
      *
      * @param send               sends a datagram to an address of the form host:port; datagrams may be lost
-     * @param onEndpointsChanged called with the store offset of a change of the endpoints that this daemon has not read
-     * @param onDeploymentAnnounced called with each version of the configuration that another daemon is first heard to
-     *                              have applied
-     * @param onMembersDeparted  called with members of the duties' group that have stopped for good, once each is heard
+     * @param announcements receives what other daemons announce
      */
-    public Gossiper(
-            GossipContext context,
-            BiConsumer<String, byte[]> send,
-            LongConsumer onEndpointsChanged,
-            LongConsumer onDeploymentAnnounced,
-            Consumer<Collection<String>> onMembersDeparted) {
+    public Gossiper(GossipContext context, BiConsumer<String, byte[]> send, PeerAnnouncements announcements) {
         this.context = context;
-        this.onEndpointsChanged = onEndpointsChanged;
-        this.onDeploymentAnnounced = onDeploymentAnnounced;
-        this.onMembersDeparted = onMembersDeparted;
+        this.announcements = announcements;
         this.peers = context.peers();
         this.send = send;
         this.writer = new GossipWriter(context);
@@ -125,11 +111,11 @@
             return;
         }
         if (writer.advanceEndpointsChanged(gossip.getEndpointsChanged() - 1)) {
-            onEndpointsChanged.accept(gossip.getEndpointsChanged() - 1);
+            announcements.onEndpointsChanged(gossip.getEndpointsChanged() - 1);
         }
         if (gossip.getDeploymentVersion() > announcedVersion) {
             announcedVersion = gossip.getDeploymentVersion();
-            onDeploymentAnnounced.accept(announcedVersion);
+            announcements.onDeploymentAnnounced(announcedVersion);
         }
         receiveDeparted(gossip.getDepartedMembersList());
         long now = context.clockMillis().getAsLong();
@@ -161,7 +147,7 @@
         }
         List<String> news = members.stream().filter(heardDeparted::add).toList();
         if (!news.isEmpty()) {
-            onMembersDeparted.accept(news);
+            announcements.onMembersDeparted(news);
         }
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/control/UsageReporterTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/control/UsageReporterTest.java
@@ -134,7 +134,7 @@
         assertTrue(tookMillis < 1_000, "took " + tookMillis + " ms");
     }
 
-    /** Guards against usage that is lost as windows are frozen before daemons could write what they counted meanwhile. */
+    /** Guards against usage that is lost as windows are frozen before daemons could write their counts. */
     @Test
     void testUrgentWindowAwaitsCountsJustAfterTheStoreIsReached() throws Exception {
         StoreClient client = client();
--- a/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/standin/StandinStore.java
@@ -43,14 +43,12 @@
 
     private static final long POLL_MILLIS = 20;
 
-    private static final long TTL_MILLIS = 3_000;
-
     private final TestEventLoop loops = new TestEventLoop();
     private final Map<String, List<byte[]>> topics = new HashMap<>();
     private final List<String> duties = new CopyOnWriteArrayList<>();
     private final List<DutyCall> dutyCalls = new CopyOnWriteArrayList<>();
     private final List<String> joins = new CopyOnWriteArrayList<>();
-    private final Map<String, Long> memberExpiryMillis = new LinkedHashMap<>();
+    private final StandinGroup group = new StandinGroup();
     private final FrontServer server;
     private final Closer views = new Closer();
     private volatile boolean down;
@@ -62,9 +60,6 @@
     private volatile long ignoredBeforeMillis = Long.MIN_VALUE;
     private final Map<String, Integer> firstOffsets = new HashMap<>();
     private volatile long era = 1;
-    private String holder;
-    private String passedOver = "";
-    private long generation;
 
     public StandinStore() {
         server = new FrontServer(
@@ -114,7 +109,7 @@
      */
     public void returnWithMembers() {
         onLoop(() -> {
-            memberExpiryMillis.replaceAll((member, expiry) -> TestEventLoop.CLOCK_MILLIS.getAsLong() + TTL_MILLIS);
+            group.renewAll();
             down = false;
             return true;
         });
@@ -124,7 +119,7 @@
      * Returns the member that has the duties now or had them last; empty if none has.
      */
     public String dutyHolder() {
-        return onLoop(() -> holder == null ? "" : holder);
+        return onLoop(group::holder);
     }
 
     /**
@@ -167,7 +162,7 @@
      * Returns a copy of what it holds now, to be put back later.
      */
     public StoreCopy copy() {
-        return onLoop(() -> StoreCopy.of(topics, generation));
+        return onLoop(() -> StoreCopy.of(topics, group.generation()));
     }
 
     /**
@@ -188,9 +183,7 @@
                 topic(topic).addAll(written.subList(copied, written.size()));
             }
             era++;
-            generation = copy.generation();
-            memberExpiryMillis.clear();
-            return passOnDuties();
+            return group.restore(copy.generation());
         });
     }
 
@@ -198,13 +191,7 @@
      * Assigns the duties to another member than before.
      */
     public void handOverDuties() {
-        onLoop(this::passOnDuties);
-    }
-
-    private boolean passOnDuties() {
-        passedOver = holder == null ? "" : holder;
-        holder = null;
-        return true;
+        onLoop(group::passOn);
     }
 
     /**
@@ -320,26 +307,18 @@
     }
 
     private Map<String, Object> join(CallerRequest request) throws IOException {
-        JsonNode joinRequest = MAPPER.readTree(request.body().toString(StandardCharsets.UTF_8));
-        String member = joinRequest.path("Member").asText();
+        JsonNode join = MAPPER.readTree(request.body().toString(StandardCharsets.UTF_8));
+        String member = join.path("Member").asText();
         joins.add(member);
-        long now = TestEventLoop.CLOCK_MILLIS.getAsLong();
-        memberExpiryMillis.put(member, now + joinRequest.path("TtlMs").asLong());
-        memberExpiryMillis.values().removeIf(expiry -> expiry < now);
-        if ((holder == null || !memberExpiryMillis.containsKey(holder)) && !passedOver.equals(member)) {
-            holder = member;
-            passedOver = "";
-            generation++;
-        }
+        boolean assigned = group.join(member, join.path("TtlMs").asLong());
         List<Object> row = List.of("duties", 0, 0);
-        return Map.of("Generation", generation, "parts", member.equals(holder) ? List.of(row) : List.of());
+        return Map.of("Generation", group.generation(), "parts", assigned ? List.of(row) : List.of());
     }
 
     private Map<String, Object> leave(CallerRequest request) throws IOException {
-        String member = MAPPER.readTree(request.body().toString(StandardCharsets.UTF_8))
+        group.leave(MAPPER.readTree(request.body().toString(StandardCharsets.UTF_8))
                 .path("Member")
-                .asText();
-        memberExpiryMillis.remove(member);
+                .asText());
         return Map.of();
     }
 
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossiperTest.java
@@ -6,6 +6,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -192,18 +193,7 @@
     void testDaemonThatStartsLaterLearnsWhatCrashesEndpoints(CrashCause.Kind kind) {
         List<CrashCause> causes = List.of(new CrashCause(CrashCause.Kind.BLOCK, 1), new CrashCause(kind, 2));
         for (int startMillis = 1; startMillis <= 3; startMillis++) {
-            Endpoint engine = new Endpoint(
-                    ENGINE,
-                    POOL,
-                    "10.0.0.1:80",
-                    new FailureDomain("a"),
-                    64,
-                    false,
-                    EndpointRole.DECODE,
-                    startMillis,
-                    false,
-                    OptionalLong.empty(),
-                    SoftwareVersion.UNSTATED);
+            Endpoint engine = listedEngine(new FailureDomain("a"), startMillis);
             members.get("a2").poison.recordCrash("attempt", engine, false, causes, nowMillis);
         }
         advance(SECOND_MILLIS);
@@ -279,6 +269,21 @@
         assertEquals(Set.of("a2-1"), started.departed);
     }
 
+    private static Endpoint listedEngine(FailureDomain domain, long startMillis) {
+        return new Endpoint(
+                ENGINE,
+                POOL,
+                "10.0.0.1:80",
+                domain,
+                64,
+                false,
+                EndpointRole.DECODE,
+                startMillis,
+                false,
+                OptionalLong.empty(),
+                SoftwareVersion.UNSTATED);
+    }
+
     private long countReady(String observer, FailureDomain domain) {
         return members.get(observer).peers.ready(domain, nowMillis).stream()
                 .filter(daemon -> daemon.domain().equals(domain))
@@ -298,7 +303,7 @@
     /**
      * A daemon that delivers datagrams to the others without sockets.
      */
-    private final class Member {
+    private final class Member implements PeerAnnouncements {
 
         private final Daemon self;
         private final PeerView peers;
@@ -309,7 +314,6 @@
         private final Gossiper gossiper;
         private final Set<String> departed = new TreeSet<>();
         private long endpointsChanged = -1;
-        private long deploymentAnnounced;
         private PeerStatus status = PeerStatus.of(true);
 
         Member(String name) {
@@ -327,19 +331,7 @@
                     Map.of(),
                     CallerLimits.DEFAULT);
             accounts.apply(deployment, nowMillis);
-            Endpoint engine = new Endpoint(
-                    ENGINE,
-                    POOL,
-                    "10.0.0.1:80",
-                    self.domain(),
-                    64,
-                    false,
-                    EndpointRole.DECODE,
-                    1,
-                    false,
-                    OptionalLong.empty(),
-                    SoftwareVersion.UNSTATED);
-            endpoints.apply(List.of(engine), deployment, nowMillis);
+            endpoints.apply(List.of(listedEngine(self.domain(), 1)), deployment, nowMillis);
             GossipContext context = new GossipContext(
                     self,
                     peers,
@@ -353,18 +345,20 @@
                     new MedianClock(nowMillis, nowMillis),
                     () -> nowMillis,
                     () -> nowMillis);
-            gossiper = new Gossiper(
-                    context,
-                    this::send,
-                    offset -> endpointsChanged = offset,
-                    version -> deploymentAnnounced = version,
-                    members -> {
-                        departed.addAll(members);
-                        tellDeparted();
-                    });
+            gossiper = new Gossiper(context, this::send, this);
         }
 
-        private void tellDeparted() {
+        @Override
+        public void onEndpointsChanged(long offset) {
+            endpointsChanged = offset;
+        }
+
+        @Override
+        public void onDeploymentAnnounced(long version) {}
+
+        @Override
+        public void onMembersDeparted(Collection<String> heard) {
+            departed.addAll(heard);
             gossiper.setDepartedMembers(departed);
         }
 
--- a/policy/src/test/java/org/ragwortpitch/duty/DutyHistoryTest.java
+++ b/policy/src/test/java/org/ragwortpitch/duty/DutyHistoryTest.java
@@ -18,10 +18,10 @@
 
 /**
  * Guards against holders of the duties that disturb each other where the platform doesn't check fencing tokens: a call
- * with a lower token after a higher one, or actions of two holders that alternate within the lease time. Daemons freeze,
- * stop, restart, leave and join again, are cut off from the store and have clocks of different rates; the store is away
- * or slow; calls without an answer are executed late or never. Controls that break a rule show that the histories are
- * hard enough.
+ * with a lower token after a higher one, or actions of two holders that alternate within the lease time. Daemons
+ * freeze, stop, restart, leave and join again, are cut off from the store and have clocks of different rates; the store
+ * is away or slow; calls without an answer are executed late or never. Controls that break a rule show that the
+ * histories are hard enough.
  */
 class DutyHistoryTest {
 
