Trust no join beside a leave that is under way

A member that is suspended and resumed before its leave is answered joins again while the leave may still be executed, and the store then gives the duties to another member. Without fencing, joins now count only if they were sent after the answer to each leave, or LeaseMs after one without an answer.

--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -126,13 +126,21 @@
             return;
         }
         joined = false;
+        lease.leaveSent();
         long sent = leaseMillis.getAsLong();
-        store.call(StoreCodec.leave(GROUP, member), 0, response -> done.run(), reason -> {
-            joined = true;
-            lease.leaveUnanswered(sent);
-            onLeaveUnanswered();
-            done.run();
-        });
+        store.call(
+                StoreCodec.leave(GROUP, member),
+                0,
+                response -> {
+                    lease.leaveAnswered(leaseMillis.getAsLong());
+                    done.run();
+                },
+                reason -> {
+                    joined = true;
+                    lease.leaveUnanswered(sent);
+                    onLeaveUnanswered();
+                    done.run();
+                });
         if (stopped && !store.isReachable()) {
             onLeaveFailed.run();
         }
--- a/policy/src/main/java/org/ragwortpitch/duty/DutyLease.java
+++ b/policy/src/main/java/org/ragwortpitch/duty/DutyLease.java
@@ -27,6 +27,7 @@
     private long lastActMillis;
     private long actedGeneration = NONE;
     private long assignedGeneration = NONE;
+    private int leavesUnderWay;
     private long leaveSettledMillis = Long.MIN_VALUE;
     private OptionalLong predecessorEndedMillis = OptionalLong.empty();
     private boolean predecessorIsSelf;
@@ -58,7 +59,7 @@
         boolean stillHeld = held && nowMillis < expiresMillis;
         generation = newGeneration;
         // A leave that was not answered may be executed after this call, and the duties assigned to another member.
-        held = assigned && (fenced || sentMillis >= leaveSettledMillis);
+        held = assigned && (fenced || leavesUnderWay == 0 && sentMillis >= leaveSettledMillis);
         expiresMillis = sentMillis + ttlMillis;
         if (held && assignedGeneration != newGeneration) {
             assignedGeneration = newGeneration;
@@ -70,13 +71,33 @@
         }
     }
 
+    /**
+     * Records that a call by which this member leaves the group is under way. Joins that are sent before it has been
+     * answered may be executed before it.
+     */
+    public void leaveSent() {
+        leavesUnderWay++;
+    }
+
+    /**
+     * Records that the store has answered the call by which this member leaves the group.
+     */
+    public void leaveAnswered(long nowMillis) {
+        settleLeave(nowMillis);
+    }
+
     /**
      * Records that a call by which this member leaves the group was not answered, so that it may be executed later.
      *
      * @param sentMillis when the call was sent
      */
     public void leaveUnanswered(long sentMillis) {
-        leaveSettledMillis = Math.max(leaveSettledMillis, sentMillis + waitMillis);
+        settleLeave(sentMillis + waitMillis);
+    }
+
+    private void settleLeave(long settledMillis) {
+        leavesUnderWay--;
+        leaveSettledMillis = Math.max(leaveSettledMillis, settledMillis);
     }
 
     /**
