--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -157,7 +157,8 @@
                 settings.domain(),
                 ConnectionPool.hostAndPort(front.address()),
                 ConnectionPool.hostAndPort(socket.address()));
-        gossiper = new Gossiper(gossipContext(), socket::send, this::onEndpointsAnnounced, this::onDeploymentAnnounced);
+        gossiper = new Gossiper(
+                gossipContext(), socket::send, new AnnouncementsToControl(controlLoop, this::currentControl));
         storeUpdates = new StoreUpdates(
                 trafficLoop, gateway, table, gossiper, poison, metrics, clockMillis, this::medianMillis);
         ready = listen(
@@ -207,12 +208,8 @@
         return table;
     }
 
-    private void onEndpointsAnnounced(long offset) {
-        controlLoop.execute(() -> control.endpointsChanged(offset));
-    }
-
-    private void onDeploymentAnnounced(long version) {
-        controlLoop.execute(() -> control.deploymentAnnounced(version));
+    private Control currentControl() {
+        return control;
     }
 
     private GossipContext gossipContext() {
--- a/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/Control.java
@@ -1,19 +1,14 @@
 package org.ragwortpitch.edge.control;
 
 import io.netty.channel.EventLoop;
-import java.lang.System.Logger;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
-import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.DaemonCodec;
 import org.ragwortpitch.adapter.InstanceSettings;
 import org.ragwortpitch.adapter.KeyedRecord;
@@ -28,10 +23,8 @@
 import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
-import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
-import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.poison.CrashCause;
 import org.ragwortpitch.scaling.PoolDemand;
 
@@ -41,8 +34,6 @@
  */
 public final class Control {
 
-    private static final Logger LOGGER = System.getLogger(Control.class.getName());
-
     /** Long-poll timeout for the daemons' topic, in milliseconds; long, because each call is billed. */
     private static final long DAEMONS_WAIT_MILLIS = 10_000;
 
@@ -59,11 +50,12 @@
     /** Long-poll timeout for causes of crashes, in milliseconds: the longest one, as gossip tells of them first. */
     private static final long POISON_WAIT_MILLIS = 30_000;
 
-    private static final long REGISTER_RETRY_MILLIS = 500;
-
     /** Interval between checks for missing entries, in milliseconds: a tenth of the second left to act on one. */
     private static final long MISSING_CHECK_MILLIS = 100;
 
+    /** Interval between attempts to make departed members leave the duties' group, in milliseconds. */
+    private static final long DEPARTURES_MILLIS = 250;
+
     private final EventLoop loop;
     private final InstanceSettings settings;
     private final Daemon self;
@@ -72,11 +64,11 @@
     private final LongSupplier clockMillis;
     private final EndpointRegistry endpoints = new EndpointRegistry();
     private final FaultBarrier barrier = new FaultBarrier("apply record");
-    private final OddEntries oddDaemons = new OddEntries("daemon-unreadable", "daemon");
-    private final Map<InstanceId, Daemon> daemons = new HashMap<>();
+    private final DaemonRegistry daemons;
     private final UsageWriter usage;
     private final PoisonRecorder poison;
     private final DutyRunner duties;
+    private final MemberDepartures departures;
     private final DeploymentFollower deployments;
     private Map<PoolId, PoolDemand> poolDemands = Map.of();
     private Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = Map.of();
@@ -106,26 +98,47 @@
         this.self = self;
         this.listener = listener;
         this.clockMillis = clockMillis;
-        this.store = new StoreClient(
-                loop, caller, settings.storeAddress(), clockMillis, metrics, listener::onStoreReachable);
-        String incarnation = self.id().value() + "-" + self.startMillis();
+        this.store =
+                new StoreClient(loop, caller, settings.storeAddress(), clockMillis, metrics, this::onStoreReachable);
+        LongSupplier leaseMillis = new LeaseClock(clockMillis, wallMillis);
         this.deployments =
                 new DeploymentFollower(loop, store, settings.bounds().contactMillis(), clockMillis, listener);
+        this.daemons = new DaemonRegistry(
+                loop, store, self, listener::onDaemons, ended -> learnDeparted(List.of(ended), "later-incarnation"));
         this.usage = new UsageWriter(loop, store, self);
         this.poison = new PoisonRecorder(loop, store);
         this.duties = new DutyRunner(
                 loop,
                 store,
-                incarnation,
-                new LeaseClock(clockMillis, wallMillis),
+                DaemonRegistry.memberName(self),
+                leaseMillis,
                 settings.bounds().leaseMillis(),
                 settings.bounds().requireFencing(),
-                duty(caller, clockMillis, medianMillis));
+                duty(caller, clockMillis, medianMillis),
+                () -> learnDeparted(List.of(DaemonRegistry.memberName(self)), "stop"),
+                this::endedMillis);
+        this.departures = new MemberDepartures(
+                store, DutyRunner.GROUP, leaseMillis, listener::onDepartedMembers, duties::renewSoon);
+    }
+
+    private void onStoreReachable(boolean reachable) {
+        listener.onStoreReachable(reachable);
+        if (reachable) {
+            departures.step();
+        }
+    }
+
+    private OptionalLong endedMillis(String member) {
+        return departures.endedMillis(member);
+    }
+
+    private void learnDeparted(Collection<String> members, String source) {
+        departures.learn(members, source);
     }
 
     private Duty duty(BufferingHttpCaller caller, LongSupplier clockMillis, LongSupplier medianMillis) {
         if (settings.cloud().isEmpty()) {
-            return (token, refused) -> {};
+            return tenure -> {};
         }
         PlatformClient platform = new PlatformClient(caller, settings.cloud().get());
         UsageReporter reporter = new UsageReporter(
@@ -139,12 +152,12 @@
                 new FleetScaler(platform, self.id(), clockMillis),
                 new EngineRoleAssigner(caller, self.id(), clockMillis),
                 listener::onRoleChanges);
-        return (token, refused) -> {
+        return tenure -> {
             reporter.updatePeerCounts(peerCounts);
-            reporter.step(token, medianMillis.getAsLong(), incarnations(), refused);
-            deployments
-                    .current()
-                    .ifPresent(deployment -> deployment.pools().forEach(pool -> stepEngines(token, pool, engines)));
+            reporter.step(tenure, medianMillis.getAsLong(), daemons.incarnations());
+            deployments.current().ifPresent(deployment -> deployment
+                    .pools()
+                    .forEach(pool -> stepEngines(tenure.fencingToken(), pool, engines)));
         };
     }
 
@@ -154,12 +167,6 @@
                 : OptionalLong.empty();
     }
 
-    private Set<DaemonIncarnation> incarnations() {
-        return daemons.values().stream()
-                .map(daemon -> new DaemonIncarnation(daemon.id(), daemon.startMillis()))
-                .collect(Collectors.toSet());
-    }
-
     private void stepEngines(long token, Pool pool, EngineDuty engines) {
         Collection<Endpoint> listed = endpoints.endpoints().stream()
                 .map(engine -> saidToLeave.contains(engine.incarnation()) ? engine.asLeaving() : engine)
@@ -173,7 +180,6 @@
      */
     public void start() {
         store.onRestored(this::writeAgain);
-        register();
         deployments.start();
         long endpointsPauseMillis =
                 Math.max(ENDPOINTS_READ_MARGIN_MILLIS, settings.bounds().drainMillis() - ENDPOINTS_READ_MARGIN_MILLIS);
@@ -183,9 +189,10 @@
                 () -> 0,
                 this::applyEndpoints,
                 reading -> listener.onEndpointsRead(endpoints.reading(reading)));
-        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, () -> DAEMONS_WAIT_MILLIS, this::applyDaemons, reading -> {});
+        follow(DaemonCodec.TOPIC, DAEMONS_PAUSE_MILLIS, () -> DAEMONS_WAIT_MILLIS, daemons::apply, reading -> {});
         follow(StoreCodec.POISON_TOPIC, 0, () -> POISON_WAIT_MILLIS, this::applyPoison, reading -> {});
         FaultBarrier.schedule(loop, "drop missing endpoints", MISSING_CHECK_MILLIS, this::dropMissing);
+        FaultBarrier.schedule(loop, "departed members", DEPARTURES_MILLIS, departures::step);
         duties.start();
     }
 
@@ -206,10 +213,21 @@
         poison.record(cause, crashes);
     }
 
+    /**
+     * Learns from another daemon of members of the duties' group that have stopped for good.
+     */
+    public void membersDeparted(Collection<String> members) {
+        learnDeparted(
+                members.stream()
+                        .filter(member -> !member.equals(DaemonRegistry.memberName(self)))
+                        .toList(),
+                "gossip");
+    }
+
     /** Writes again what this daemon has written, as the store may have lost it. */
     private void writeAgain() {
         endpoints.forgetOffsets();
-        register();
+        daemons.register();
         poison.recordAllAgain();
     }
 
@@ -277,6 +295,7 @@
      */
     public void readStoreClosely(boolean closely) {
         deployments.readClosely(closely);
+        departures.callStore(closely);
     }
 
     /** Adds the evacuations that other daemons have reported. */
@@ -298,24 +317,6 @@
         duties.leave(done);
     }
 
-    private void register() {
-        byte[] record = StoreCodec.encodeKeyed(self.id().value(), DaemonCodec.encode(self));
-        store.call(
-                StoreCodec.append(DaemonCodec.TOPIC, List.of(record)),
-                0,
-                response -> {
-                    if (!response.isOk()) {
-                        retryRegister("status " + response.status());
-                    }
-                },
-                this::retryRegister);
-    }
-
-    private void retryRegister(String reason) {
-        Event.of("daemon-not-listed").with("reason", reason).info(LOGGER);
-        loop.schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     private TopicFollower follow(
             String topic,
             long pauseMillis,
@@ -358,33 +359,6 @@
         }
     }
 
-    private void applyDaemons(List<KeyedRecord> records, boolean snapshot) {
-        // Entries that a restore of the store has taken are written again; until then gossip shows which daemons run.
-        if (snapshot && store.era().equals(store.firstEra())) {
-            daemons.clear();
-        }
-        records.forEach(entry -> barrier.run(entry.key(), () -> applyDaemon(entry)));
-        listener.onDaemons(daemons.values().stream()
-                .filter(daemon -> !daemon.id().equals(self.id()))
-                .toList());
-    }
-
-    /** Applies an entry. One that can't be used leaves the daemon's earlier one, as gossip shows whether it runs. */
-    private void applyDaemon(KeyedRecord entry) {
-        InstanceId id = new InstanceId(entry.key());
-        if (entry.value().length == 0) {
-            daemons.remove(id);
-            oddDaemons.forget(entry.key());
-            return;
-        }
-        try {
-            daemons.put(id, DaemonCodec.decode(entry.key(), entry.value()));
-            oddDaemons.forget(entry.key());
-        } catch (CodecException exception) {
-            oddDaemons.report(entry, exception);
-        }
-    }
-
     /**
      * Applies records of a topic; a snapshot replaces all earlier ones.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/control/DutyRunner.java
@@ -1,13 +1,16 @@
 package org.ragwortpitch.edge.control;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.lang.System.Logger;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.ragwortpitch.adapter.CodecException;
 import org.ragwortpitch.adapter.GroupAssignment;
 import org.ragwortpitch.adapter.StoreCodec;
+import org.ragwortpitch.duty.DutyLease;
 import org.ragwortpitch.edge.http.CallResponse;
 import org.ragwortpitch.edge.task.FaultBarrier;
 import org.ragwortpitch.logging.Event;
@@ -20,7 +23,7 @@
 
     private static final Logger LOGGER = System.getLogger(DutyRunner.class.getName());
 
-    private static final String GROUP = "duties";
+    static final String GROUP = "duties";
 
     private static final String TOPIC = "duties";
 
@@ -41,13 +44,21 @@
     private final String member;
     private final LongSupplier leaseMillis;
     private final DutyLease lease;
+    private final boolean fenced;
     private final FencingTokens tokens;
+    private final HolderRecords holders;
+    private final Function<String, OptionalLong> endedMillis;
     private final Duty duty;
+    private final Runnable onLeaveFailed;
     private boolean acting;
     private boolean stopped;
     private boolean suspended = true;
+    /** Whether this member may be in the group. */
     private boolean joined;
 
+    private boolean joining;
+    private ScheduledFuture<?> nextRenewal;
+
     /**
      * Creates a runner that joins the group once it is started and no longer suspended.
      *
@@ -63,14 +74,20 @@
             LongSupplier leaseMillis,
             long waitMillis,
             boolean fenced,
-            Duty duty) {
+            Duty duty,
+            Runnable onLeaveFailed,
+            Function<String, OptionalLong> endedMillis) {
         this.loop = loop;
         this.store = store;
         this.member = member;
         this.leaseMillis = leaseMillis;
         this.lease = new DutyLease(TTL_MILLIS, waitMillis, fenced, leaseMillis.getAsLong());
-        this.tokens = new FencingTokens(store);
+        this.fenced = fenced;
+        this.tokens = new FencingTokens(store, this::step);
+        this.holders = new HolderRecords(store, member, this::step);
         this.duty = duty;
+        this.onLeaveFailed = onLeaveFailed;
+        this.endedMillis = endedMillis;
         store.onRestored(lease::forget);
     }
 
@@ -103,32 +120,91 @@
 
     private void leaveGroup(Runnable done) {
         lease.release();
-        if (!joined) {
+        if (!joined || joining) {
+            // A join that is under way is followed by another call of this method.
             done.run();
             return;
         }
         joined = false;
-        store.call(StoreCodec.leave(GROUP, member), 0, response -> done.run(), reason -> done.run());
+        lease.leaveSent();
+        long sent = leaseMillis.getAsLong();
+        store.call(
+                StoreCodec.leave(GROUP, member),
+                0,
+                response -> {
+                    lease.leaveAnswered(leaseMillis.getAsLong());
+                    done.run();
+                },
+                reason -> {
+                    joined = true;
+                    lease.leaveUnanswered(sent);
+                    onLeaveUnanswered();
+                    done.run();
+                });
+        if (stopped && !store.isReachable()) {
+            onLeaveFailed.run();
+        }
+    }
+
+    private void onLeaveUnanswered() {
+        if (stopped) {
+            onLeaveFailed.run();
+        } else {
+            store.retry(() -> {
+                if (suspended || stopped) {
+                    leaveGroup(() -> {});
+                }
+            });
+        }
+    }
+
+    /**
+     * Renews the membership ahead of schedule, as another member has left the group.
+     */
+    void renewSoon() {
+        if (nextRenewal != null && nextRenewal.cancel(false)) {
+            renew();
+        }
+    }
+
+    private void scheduleRenewal() {
+        nextRenewal = loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void renew() {
+        nextRenewal = null;
         if (stopped) {
             return;
         }
         if (suspended) {
-            loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
+            scheduleRenewal();
             return;
         }
         joined = true;
+        joining = true;
         long sent = leaseMillis.getAsLong();
         store.call(
                 StoreCodec.join(GROUP, member, TOPIC, TTL_MILLIS, lease.generation()),
                 0,
                 response -> {
-                    loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
-                    onJoined(response, sent);
+                    scheduleRenewal();
+                    onJoinEnded();
+                    if (!stopped && !suspended) {
+                        onJoined(response, sent);
+                    }
                 },
-                reason -> store.retry(this::renew));
+                reason -> {
+                    store.retry(this::renew);
+                    onJoinEnded();
+                });
+    }
+
+    /** Leaves the group if this was called for while a join was under way, which might undo it. */
+    private void onJoinEnded() {
+        joining = false;
+        if (stopped || suspended) {
+            leaveGroup(() -> {});
+        }
     }
 
     private void onJoined(CallResponse response, long sentMillis) {
@@ -142,14 +218,14 @@
                     assignment.generation(),
                     sentMillis,
                     leaseMillis.getAsLong());
+            step();
         } catch (CodecException exception) {
             Event.of("join-failed").with("reason", exception.getMessage()).warn(LOGGER);
         }
     }
 
     private void step() {
-        boolean mayAct = !stopped && !suspended && lease.mayAct(leaseMillis.getAsLong());
-        OptionalLong token = mayAct ? tokens.token(lease.generation()) : OptionalLong.empty();
+        OptionalLong token = actingToken();
         if (token.isPresent() != acting) {
             acting = token.isPresent();
             Event.of(acting ? "duties-taken" : "duties-given-up")
@@ -157,11 +233,63 @@
                     .with("fencing-token", token.isPresent() ? token.getAsLong() : "-")
                     .info(LOGGER);
         }
-        token.ifPresent(known -> duty.step(known, () -> onRefused(known)));
+        token.ifPresent(known -> duty.step(new Tenure(known)));
     }
 
-    private void onRefused(long token) {
-        Event.of("duties-refused").with("fencing-token", token).warn(LOGGER);
-        lease.release();
+    /** Returns the token under which this daemon may act now; empty if it may not. */
+    private OptionalLong actingToken() {
+        long now = leaseMillis.getAsLong();
+        if (stopped || suspended || !lease.isHeld(now)) {
+            return OptionalLong.empty();
+        }
+        OptionalLong token = tokens.token(lease.generation());
+        if (token.isEmpty() || !fenced && !isRecorded(token.getAsLong())) {
+            return OptionalLong.empty();
+        }
+        return lease.mayAct(now) ? token : OptionalLong.empty();
+    }
+
+    private boolean isRecorded(long token) {
+        if (!holders.isRecorded(token)) {
+            return false;
+        }
+        holders.predecessor().filter(holder -> holder.isJustBefore(token)).ifPresent(holder -> endedMillis
+                .apply(holder.member())
+                .ifPresent(ended -> lease.predecessorEnded(ended, isSameDaemon(holder.member()))));
+        return true;
+    }
+
+    /** Names of members end with the start time of the daemon's incarnation. */
+    private boolean isSameDaemon(String other) {
+        return other.substring(0, Math.max(0, other.lastIndexOf('-')))
+                .equals(member.substring(0, member.lastIndexOf('-')));
+    }
+
+    /**
+     * The tenure of this daemon under one token.
+     */
+    private final class Tenure implements DutyTenure {
+
+        private final long token;
+
+        Tenure(long token) {
+            this.token = token;
+        }
+
+        @Override
+        public long fencingToken() {
+            return token;
+        }
+
+        @Override
+        public boolean mayAct() {
+            return actingToken().equals(OptionalLong.of(token));
+        }
+
+        @Override
+        public void refused() {
+            Event.of("duties-refused").with("fencing-token", token).warn(LOGGER);
+            lease.release();
+        }
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -50,6 +50,7 @@
     private final SlotLending lending;
     private long sequence;
     private long endpointsChangedOffset = -1;
+    private List<String> departedMembers = List.of();
 
     GossipWriter(GossipContext context, SlotLending lending) {
         this.context = context;
@@ -67,6 +68,13 @@
         return newer;
     }
 
+    /**
+     * Sets the members of the duties' group to tell of, as they have stopped for good.
+     */
+    void setDepartedMembers(Collection<String> members) {
+        departedMembers = List.copyOf(members);
+    }
+
     /**
      * Encodes the account usage, request counts, engine load and crashes of this daemon.
      *
@@ -145,7 +153,8 @@
                 .addAllUnreachablePools(status.unreachablePoolNames())
                 .setStoreReachable(status.store().reachable())
                 .setDeploymentVersion(status.store().deploymentVersion())
-                .setWallMillis(context.wallMillis().getAsLong());
+                .setWallMillis(context.wallMillis().getAsLong())
+                .addAllDepartedMembers(departedMembers);
         context.endpoints()
                 .saidToLeave()
                 .forEach(endpoint -> gossip.addLeavingEndpoints(LeavingEndpoint.newBuilder()
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -9,7 +9,6 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.LongConsumer;
 import org.ragwortpitch.deployment.Daemon;
 import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.deployment.PrefixBlock;
@@ -45,15 +44,18 @@
     /** As above for announcements of other failure domains, in milliseconds; gossip rounds between them are longer. */
     private static final long CROSS_DOMAIN_AVOID_MILLIS = 1_500;
 
+    /** Most departed members remembered as heard; beyond it, they are passed on once more. */
+    private static final int MAX_HEARD_DEPARTED = 256;
+
     private final GossipContext context;
     private final PeerView peers;
     private final BiConsumer<String, byte[]> send;
     private final SlotLending lending;
     private final GossipWriter writer;
     private final PeerCounts counts = new PeerCounts();
-    private final LongConsumer onEndpointsChanged;
+    private final PeerAnnouncements announcements;
     private final Map<EndpointId, Long> peerAvoidedUntilMillis = new HashMap<>();
-    private final LongConsumer onDeploymentAnnounced;
+    private final Set<String> heardDeparted = new HashSet<>();
     private long announcedVersion;
     private Collection<EndpointId> setChangingEndpoints = List.of();
 
@@ -61,18 +63,11 @@
      * Creates a gossiper without peers.
      *
      * @param send               sends a datagram to an address of the form host:port; datagrams may be lost
-     * @param onEndpointsChanged called with the store offset of a change of the endpoints that this daemon has not read
-     * @param onDeploymentAnnounced called with each version of the configuration that another daemon is first heard to
-     *                              have applied
+     * @param announcements receives what other daemons announce
      */
-    public Gossiper(
-            GossipContext context,
-            BiConsumer<String, byte[]> send,
-            LongConsumer onEndpointsChanged,
-            LongConsumer onDeploymentAnnounced) {
+    public Gossiper(GossipContext context, BiConsumer<String, byte[]> send, PeerAnnouncements announcements) {
         this.context = context;
-        this.onEndpointsChanged = onEndpointsChanged;
-        this.onDeploymentAnnounced = onDeploymentAnnounced;
+        this.announcements = announcements;
         this.peers = context.peers();
         this.send = send;
         this.lending = new SlotLending(context);
@@ -118,12 +113,13 @@
             return;
         }
         if (writer.advanceEndpointsChanged(gossip.getEndpointsChanged() - 1)) {
-            onEndpointsChanged.accept(gossip.getEndpointsChanged() - 1);
+            announcements.onEndpointsChanged(gossip.getEndpointsChanged() - 1);
         }
         if (gossip.getDeploymentVersion() > announcedVersion) {
             announcedVersion = gossip.getDeploymentVersion();
-            onDeploymentAnnounced.accept(announcedVersion);
+            announcements.onDeploymentAnnounced(announcedVersion);
         }
+        receiveDeparted(gossip.getDepartedMembersList());
         long now = context.clockMillis().getAsLong();
         // Crashes, limits, the origins of streams, endpoints that leave or are cold and evacuations count whoever
         // reports them, also
@@ -157,6 +153,16 @@
         }
     }
 
+    private void receiveDeparted(Collection<String> members) {
+        if (heardDeparted.size() > MAX_HEARD_DEPARTED) {
+            heardDeparted.clear();
+        }
+        List<String> news = members.stream().filter(heardDeparted::add).toList();
+        if (!news.isEmpty()) {
+            announcements.onMembersDeparted(news);
+        }
+    }
+
     private void receiveLimit(EndpointLimit limit, boolean direct, long nowMillis) {
         EndpointState state = context.endpoints().find(new EndpointId(limit.getEndpoint()));
         if (state != null && state.endpoint().startMillis() == limit.getBornMillis()) {
@@ -255,6 +261,13 @@
         writer.advanceEndpointsChanged(offset);
     }
 
+    /**
+     * Sets the members of the duties' group that other daemons are told of, as they have stopped for good.
+     */
+    public void setDepartedMembers(Collection<String> members) {
+        writer.setDepartedMembers(members);
+    }
+
     /**
      * Returns a copy of the request counts received from other daemons, by usage window, incarnation and account.
      */
