--- a/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineEstimate.java
@@ -31,12 +31,6 @@
     /** From this many streams on, delaying them weighs as much as delaying the new request. */
     private static final double FULL_WEIGHT_STREAMS = 8;
 
-    /**
-     * How much longer prefills may seem by waits of which no gossip has told, at the utilization that is planned for:
-     * two fifths of them wait, for half of another prefill on average.
-     */
-    private static final double UNTOLD_WAIT_FACTOR = 1.2;
-
     private static final double BITS_PER_BYTE = 8;
 
     private static final double BITS_PER_MEGABIT_MILLI = 1_000;
@@ -108,12 +102,12 @@
 
     /**
      * Estimates the prefill throughput of an engine over prompts of all lengths, in tokens per millisecond, set-up
-     * included. A speed somewhat below the nominal one counts as nominal, since waits of which no gossip has told make
-     * learned times longer.
+     * included. A speed below the nominal one counts as nominal, since waits of which no gossip has told make learned
+     * times longer, and engines ordered for a throughput that is too low cost money.
      */
     public static double throughputTokensPerMilli(EngineSpeed speed) {
         double throughput = PREFILL_TOKENS_PER_MILLI / speed.prefillTimeRelativeTo(EngineSpeed.NOMINAL);
-        return Math.max(throughput, Math.min(PREFILL_TOKENS_PER_MILLI, UNTOLD_WAIT_FACTOR * throughput));
+        return Math.max(PREFILL_TOKENS_PER_MILLI, throughput);
     }
 
     /**
