Let generations wait in the daemon while no engine has room

A request for which no engine had room was refused at once for its queueing delay, or sent to a full engine. Where the configuration has accounts without a rate limit, it now waits in the daemon: examined when requests end, when gossip arrives and every 50 ms, bounded in number and bytes, and refused once its first event would come too late. A request that fits is placed at once.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -276,6 +276,7 @@
 
     private void onGossip(Gossip gossip) {
         gossiper.receive(gossip);
+        gateway.onGossip();
     }
 
     private EventLoop newEventLoop() {
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -28,6 +28,16 @@
             histogram("ragwortpitch_first_event_seconds", "Time until the first event of a stream");
     private final Histogram endpoints =
             histogram("ragwortpitch_endpoint_seconds", "Time that a plain service took for an answer");
+    private final Histogram waits =
+            histogram("ragwortpitch_admission_wait_seconds", "Time that requests waited for an engine, by outcome");
+    private final Gauge waitingRequests = Gauge.builder()
+            .name("ragwortpitch_waiting_requests")
+            .help("Requests that wait for room on an engine")
+            .register(registry);
+    private final Gauge waitingBytes = Gauge.builder()
+            .name("ragwortpitch_waiting_bytes")
+            .help("Bytes of the bodies of the requests that wait for room on an engine")
+            .register(registry);
     private final Counter requests = Counter.builder()
             .name("ragwortpitch_requests_total")
             .help("Requests by kind and outcome")
@@ -98,6 +108,23 @@
         endpoints.labelValues("service").observe(millis / MILLIS_PER_SECOND);
     }
 
+    /**
+     * Records the end of a request's wait for room on an engine.
+     *
+     * @param outcome placed, refused, left or no-engine
+     */
+    public void recordWait(String outcome, long millis) {
+        waits.labelValues(outcome).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Sets the number and size of the requests that wait for room on an engine.
+     */
+    public void setWaiting(int requestCount, long bytes) {
+        waitingRequests.set(requestCount);
+        waitingBytes.set(bytes);
+    }
+
     /**
      * Counts a request that was refused before admission, by its status code.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -4,12 +4,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.placement.EngineChooser;
+import org.ragwortpitch.placement.EngineState;
 import org.ragwortpitch.placement.Placement;
 
 /**
@@ -29,6 +31,25 @@
                 .or(() -> choose(version, endpoints.available(pool, tried, nowMillis)));
     }
 
+    /**
+     * Returns the engines with the lowest cost among those that have room; empty if none of them can decode. Available
+     * engines that are not usable are considered only if no usable one can decode, whether or not it has room.
+     *
+     * @param version the software version at which the stream has to go on; empty if it may begin at any
+     * @param tried   engines that the generation was sent to
+     */
+    Optional<Placement> placeWithRoom(
+            Optional<SoftwareVersion> version, Set<EndpointId> tried, long nowMillis, Predicate<EngineState> hasRoom) {
+        List<EndpointState> usable = endpoints.usable(pool, tried, nowMillis);
+        boolean decodable = usable.stream().anyMatch(state -> isDecoder(state) && hasVersion(state, version));
+        List<EndpointState> candidates = decodable ? usable : endpoints.available(pool, tried, nowMillis);
+        return choose(
+                version,
+                candidates.stream()
+                        .filter(state -> hasRoom.test(state.engine()))
+                        .toList());
+    }
+
     private Optional<Placement> choose(Optional<SoftwareVersion> version, List<EndpointState> candidates) {
         return chooser.choose(
                 generation,
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gateway.java
@@ -61,6 +61,7 @@
     private final AccountRateLimits accounts;
     private final EngineChooser chooser;
     private final BufferingHttpCaller caller;
+    private final WaitingGenerations waiting;
     private Deployment deployment;
     private DrainWindow drainWindow;
 
@@ -72,6 +73,7 @@
         this.accounts = context.accounts();
         this.caller = caller;
         this.chooser = new EngineChooser(context.domain());
+        this.waiting = new WaitingGenerations(context);
     }
 
     /**
@@ -80,6 +82,14 @@
     public void apply(Deployment next) {
         deployment = next;
         accounts.apply(next, context.clockMillis().getAsLong());
+        waiting.reconsider();
+    }
+
+    /**
+     * Examines the requests that wait for an engine, as gossip may tell of room.
+     */
+    public void onGossip() {
+        waiting.onGossip();
     }
 
     /**
@@ -251,8 +261,8 @@
         }
         ProxyFallback fallback = new ProxyFallback(context, exchange, pool.id(), deployment.version());
         if (pool.engine().isPresent() && generation.isPresent()) {
-            GenerationRun run =
-                    new GenerationRun(context, chooser, caller, exchange, pool.id(), generation.get(), fallback);
+            GenerationRun run = new GenerationRun(
+                    context, chooser, caller, exchange, pool.id(), generation.get(), waiting, fallback);
             run.start();
             return run;
         }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
@@ -29,20 +30,9 @@
  */
 final class GenerationRun implements Cancellation, StreamListener {
 
-    private static final int OK = 200;
-
-    private static final int BAD_GATEWAY = 502;
-
-    private static final int UNAVAILABLE = 503;
-
-    private static final int GATEWAY_TIMEOUT = 504;
-
     /** Sends of one request, refused ones included; further sends rarely find a free slot. */
     private static final int MAX_SENDS = 5;
 
-    /** Pause before the next request to an engine that refused one, in milliseconds: part of a role switch. */
-    static final long REFUSAL_PAUSE_MILLIS = 600;
-
     private final TrafficContext context;
     private final EngineSelector engines;
     private final Exchange exchange;
@@ -52,6 +42,7 @@
     private final GenerationLog log;
     private final TransferredKvCache kvCache;
     private final GenerationChecks checks;
+    private final GenerationAdmission admission;
     private final StallDetector stallDetector;
     private final StreamResumption resumption;
     private final EventSequence sequence;
@@ -69,6 +60,7 @@
             Exchange exchange,
             PoolId pool,
             Generation generation,
+            WaitingGenerations waiting,
             ProxyFallback fallback) {
         this.context = context;
         this.engines = new EngineSelector(context.endpoints(), chooser, pool, generation);
@@ -86,6 +78,7 @@
                 caller, exchange.attemptId(), engine -> context.endpoints().isResting(engine, now()));
         CallerPatience patience = CallerPatience.of(exchange.route());
         this.checks = new GenerationChecks(exchange, patience);
+        this.admission = new GenerationAdmission(waiting, engines, exchange, generation, patience, this::placeOn);
         this.stallDetector = new StallDetector(context, patience.stallMillis(), this::onStall);
     }
 
@@ -100,8 +93,9 @@
             stallDetector.stop();
             current.cancel();
             kvCache.free();
+            admission.end();
         });
-        resumption.resolve(() -> place(now()), reason -> exchange.refuse(UNAVAILABLE, 0, reason));
+        resumption.resolve(() -> place(now()), reason -> exchange.failOrRefuse(false, 0, reason));
     }
 
     @Override
@@ -110,10 +104,14 @@
     }
 
     private void place(long now) {
+        current = Cancellation.NONE;
+        admission.request(resumption.version(), tried, executions > 0, now);
+    }
+
+    private void placeOn(Optional<Placement> choice, long now) {
         if (checks.refuseIfPoison(executions > 0)) {
             return;
         }
-        Optional<Placement> choice = engines.place(resumption.version(), tried, now);
         if (choice.isEmpty()) {
             checks.refuseForLackOfEngines(
                     executions > 0,
@@ -212,7 +210,7 @@
         if (sequence.lastId() != StreamEvent.NO_ID) {
             request.headers().set(Headers.LAST_EVENT, sequence.lastId());
         }
-        EngineStream run = new EngineStream(state, generation.quotaTokens(), uncached, sequence, this);
+        EngineStream run = new EngineStream(state, admission.tokens(), uncached, sequence, this);
         current = run;
         state.recordSentBlocks(generation.parts());
         stallDetector.watch(state, now);
@@ -251,7 +249,10 @@
         }
         if (rest.length > 0 || !exchange.isStreamBegun()) {
             retryOtherResponse(
-                    run, OK, () -> exchange.forwardResponse(OK, run.headers(), Unpooled.wrappedBuffer(rest)));
+                    run,
+                    HttpResponseStatus.OK.code(),
+                    () -> exchange.forwardResponse(
+                            HttpResponseStatus.OK.code(), run.headers(), Unpooled.wrappedBuffer(rest)));
             return;
         }
         exchange.endStream();
@@ -262,7 +263,7 @@
         if (exchange.isDone()) {
             return;
         }
-        run.target().recordRefusal(REFUSAL_PAUSE_MILLIS, now());
+        run.target().recordRefusal(RemotePrefill.REFUSAL_PAUSE_MILLIS, now());
         tried.add(run.target().endpoint().id());
         transferOrRetry("engine refused the request before execution: status " + status);
     }
@@ -289,7 +290,7 @@
             tried.add(run.target().endpoint().id());
             retryOrGiveUp(reason);
         } else if (exchange.isStreamBegun()) {
-            exchange.fail(BAD_GATEWAY, reason);
+            exchange.fail(HttpResponseStatus.BAD_GATEWAY.code(), reason);
         } else {
             ifLast.run();
         }
@@ -309,7 +310,7 @@
             fallback.recordFailedConnect();
         }
         if (sent && !checks.mayRunAgain(sequence, executions)) {
-            exchange.fail(BAD_GATEWAY, "no complete response from the engine: " + reason);
+            exchange.fail(HttpResponseStatus.BAD_GATEWAY.code(), "no complete response from the engine: " + reason);
         } else if (sent) {
             retryOrGiveUp("no complete response from the engine: " + reason);
         } else {
@@ -370,7 +371,7 @@
 
     private void onDeadline() {
         exchange.fail(
-                GATEWAY_TIMEOUT,
+                HttpResponseStatus.GATEWAY_TIMEOUT.code(),
                 "no complete response within the deadline of the request and the timeout of the route");
     }
 
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/RemotePrefill.java
@@ -21,6 +21,9 @@
  */
 final class RemotePrefill implements ResponseListener, Cancellation {
 
+    /** Pause before the next request to an engine that refused one, in milliseconds: part of a role switch. */
+    static final long REFUSAL_PAUSE_MILLIS = 600;
+
     private static final int OK = 200;
 
     private final EndpointState target;
@@ -104,14 +107,14 @@
     }
 
     private void refuse(String reason) {
-        target.recordRefusal(GenerationRun.REFUSAL_PAUSE_MILLIS, clockMillis.getAsLong());
+        target.recordRefusal(REFUSAL_PAUSE_MILLIS, clockMillis.getAsLong());
         onFailure.accept(CallFailure.sent(reason));
     }
 
     @Override
     public void onFailure(CallFailure failure) {
         finish();
-        target.pause(GenerationRun.REFUSAL_PAUSE_MILLIS, clockMillis.getAsLong());
+        target.pause(REFUSAL_PAUSE_MILLIS, clockMillis.getAsLong());
         onFailure.accept(new CallFailure(failure.sent(), "no complete response to the prefill: " + failure.reason()));
     }
 
