Stop examining when the last waiting request is left by its caller

The gauges and the periodic examination went on until another request waited, and the end of a wait was logged for requests that were placed at once in a later try. Requests with a hint of their output are tested to need less room.

--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationAdmission.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationAdmission.java
@@ -91,6 +91,7 @@
                             + spec.kvCapacityTokens() + " tokens: shorten it");
             return;
         }
+        waited = false;
         double ownMillis = any.get().firstEventMillis() - any.get().waitMillis();
         waiting.enter(waitingRequest(EngineRoom.requiredTokens(spec, tokens()), (long) ownMillis, nowMillis));
     }
@@ -179,7 +180,7 @@
     }
 
     /**
-     * Records that the request was not placed at once.
+     * Records that the request was not placed at once since it last asked for engines.
      */
     void markWaited() {
         waited = true;
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/WaitingGenerations.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/WaitingGenerations.java
@@ -72,7 +72,7 @@
         pool.queue.add(request);
         examine();
         for (WaitingRequest<GenerationAdmission> excess : pool.queue.removeExcess(now())) {
-            refuse(pool, excess, "too many requests wait for an engine: retry after the stated time");
+            refuse(pool, excess, "too many requests wait for an engine: retry later");
         }
         if (pool.queue.contains(item)) {
             item.markWaited();
@@ -92,8 +92,9 @@
      */
     void leave(GenerationAdmission item) {
         WaitingPool pool = pools.get(item.pool());
-        if (pool != null) {
+        if (pool != null && pool.queue.contains(item)) {
             pool.queue.remove(item).ifPresent(request -> recordEnd(request, "left"));
+            update();
         }
         reconsider();
     }
@@ -164,16 +165,13 @@
         }
         for (WaitingRequest<GenerationAdmission> late :
                 pool.queue.removeLate(served, pool.rate.tokensPerMilli(now), now)) {
-            refuse(
-                    pool,
-                    late,
-                    "no engine has room, and the first event would come too late: retry after the stated" + " time");
+            refuse(pool, late, "no engine has room, and the first event would come too late: retry later");
         }
     }
 
     private void give(
             WaitingPool pool, WaitingRequest<GenerationAdmission> request, Optional<Placement> found, long nowMillis) {
-        if (request.item().hasWaited() || pool.queue.size() > 0) {
+        if (found.isPresent() && (request.item().hasWaited() || pool.queue.size() > 0)) {
             pool.rate.record(request.tokens(), nowMillis);
         }
         recordEnd(request, found.isPresent() ? "placed" : "no-engine");
--- a/edge/src/test/java/org/ragwortpitch/edge/WaitingRequestsTest.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/WaitingRequestsTest.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.ragwortpitch.adapter.Headers;
 import org.ragwortpitch.closing.Closer;
 import org.ragwortpitch.edge.standin.StandinEndpoint;
 import org.ragwortpitch.edge.standin.StandinStore;
@@ -127,6 +129,21 @@
         assertEquals(2, engine.executedRequests().size());
     }
 
+    /** Guards against requests that wait for room which their callers don't expect to need. */
+    @ParameterizedTest
+    @CsvSource({"1, 2", "'', 1"})
+    void testRequestsNeedRoomForTheOutputThatTheirCallersExpect(String hint, int atOnce) throws Exception {
+        Edge edge = deploy(6_150, 0);
+        engine.pace(100);
+        for (String attempt : List.of("one", "two")) {
+            daemons.stream(edge, "/ask/x", attempt, Map.of(Headers.LENGTH_HINT, hint));
+            Thread.sleep(PAUSE_MILLIS);
+        }
+        Thread.sleep(150);
+        assertEquals(atOnce, engine.executedRequests().size());
+        TestDaemons.await(() -> engine.executedRequests().size() == 2);
+    }
+
     /** Guards against prompts that no engine can ever hold and that wait, or are sent to an engine in vain. */
     @Test
     void testPromptBeyondTheKvCacheIsRefusedAtOnce() throws Exception {
