--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EndpointTable.java
@@ -22,10 +22,8 @@
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
-import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.logging.Event;
 import org.ragwortpitch.placement.EngineSpeeds;
-import org.ragwortpitch.resumption.ListedVersions;
 
 /**
  * The endpoints in the current listing, with the state of each. Confined to the traffic thread.
@@ -41,8 +39,7 @@
 
     private final EndpointPacing pacing;
     private final Consumer<String> onAddressRemoved;
-    private final boolean firstStart;
-    private final Map<PoolId, ListedVersions> versions = new HashMap<>();
+    private final PoolVersions versions;
     private final EndpointNotices notices = new EndpointNotices();
     private final EvacuatedDomains evacuated = new EvacuatedDomains();
     private final EngineSpeeds speeds = new EngineSpeeds();
@@ -57,7 +54,7 @@
      * @param onAddressRemoved called with the address of each endpoint incarnation that is no longer listed
      */
     public EndpointTable(EndpointPacing pacing, boolean firstStart, Consumer<String> onAddressRemoved) {
-        this.firstStart = firstStart;
+        this.versions = new PoolVersions(firstStart);
         this.pacing = pacing;
         this.onAddressRemoved = onAddressRemoved;
     }
@@ -148,36 +145,14 @@
      */
     public void recordRead(EndpointReading reading, long nowMillis) {
         reading.coldMillis().forEach((endpoint, millis) -> pacing.recordCold(endpoint, millis, "entry", nowMillis));
-        Set<PoolId> pools = new HashSet<>(versions.keySet());
-        pools.addAll(reading.listed().keySet());
-        pools.addAll(reading.since().keySet());
-        pools.forEach(pool -> versions.computeIfAbsent(pool, id -> new ListedVersions(firstStart))
-                .read(
-                        reading.listed().getOrDefault(pool, Set.of()),
-                        reading.since().getOrDefault(pool, Set.of()),
-                        reading.continuous(),
-                        reading.sentMillis(),
-                        nowMillis));
+        versions.read(reading, nowMillis);
     }
 
     /**
-     * Returns the only software version of a pool's engines that can have begun a stream; empty if there may be
-     * several.
-     *
-     * @param arrivedMillis when the request that takes the stream up arrived
-     */
-    Optional<SoftwareVersion> onlyVersion(PoolId pool, long arrivedMillis, long nowMillis) {
-        return Optional.ofNullable(versions.get(pool)).flatMap(listed -> listed.only(arrivedMillis, nowMillis));
-    }
-
-    /**
-     * Returns whether the version that began a stream may be known once the list has been read again.
-     *
-     * @param arrivedMillis when the request that takes the stream up arrived
+     * Returns what is known of the software versions of the pools' engines.
      */
-    boolean awaitsReading(PoolId pool, long arrivedMillis, long nowMillis) {
-        ListedVersions listed = versions.get(pool);
-        return listed != null && listed.awaitsReading(arrivedMillis, nowMillis);
+    PoolVersions versions() {
+        return versions;
     }
 
     /**
@@ -420,9 +395,4 @@
     EndpointState find(EndpointId id) {
         return states.get(id);
     }
-
-    @Override
-    public String toString() {
-        return states.keySet().stream().map(EndpointId::value).collect(Collectors.joining(","));
-    }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -13,6 +13,7 @@
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
 import org.ragwortpitch.placement.EngineChooser;
+import org.ragwortpitch.placement.EngineState;
 import org.ragwortpitch.placement.Placement;
 
 /**
@@ -43,6 +44,25 @@
                 .or(() -> choose(version, endpoints.available(pool, scope(tried), nowMillis)));
     }
 
+    /**
+     * Returns the engines with the lowest cost among those that have room; empty if none of them can decode. Available
+     * engines that are not usable are considered only if no usable one can decode, whether or not it has room.
+     *
+     * @param version the software version at which the stream has to go on; empty if it may begin at any
+     * @param tried   engines that the generation was sent to
+     */
+    Optional<Placement> placeWithRoom(
+            Optional<SoftwareVersion> version, Set<EndpointId> tried, long nowMillis, Predicate<EngineState> hasRoom) {
+        List<EndpointState> usable = endpoints.usable(pool, scope(tried), nowMillis);
+        boolean decodable = usable.stream().anyMatch(state -> isDecoder(state) && hasVersion(state, version));
+        List<EndpointState> candidates = decodable ? usable : endpoints.available(pool, scope(tried), nowMillis);
+        return choose(
+                version,
+                candidates.stream()
+                        .filter(state -> hasRoom.test(state.engine()))
+                        .toList());
+    }
+
     private Optional<Placement> choose(Optional<SoftwareVersion> version, List<EndpointState> candidates) {
         return chooser.choose(
                 generation,
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamResumption.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/StreamResumption.java
@@ -74,8 +74,8 @@
         long now = now();
         long arrivedMillis = exchange.request().arrivedMillis();
         version = takenUp.flatMap(stream -> context.origins().versionOf(stream, now))
-                .or(() -> context.endpoints().onlyVersion(pool, arrivedMillis, now));
-        boolean awaitsReading = context.endpoints().awaitsReading(pool, arrivedMillis, now);
+                .or(() -> context.endpoints().versions().only(pool, arrivedMillis, now));
+        boolean awaitsReading = context.endpoints().versions().awaitReading(pool, arrivedMillis, now);
         if (version.isPresent()) {
             onReady.run();
         } else if ((takenUp.isPresent() || awaitsReading) && now < untilMillis) {
