Keep classes of the front and of the gossip tests within the linter's bounds

Cause: the check of callers and the merged tests had made three classes too long, and shared test fields were not private. Change: RejectedHead and UnsentBytes are split off CallerConnection; the gossip tests read their daemons through accessors. No check is changed.

--- a/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -24,8 +23,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.lang.System.Logger;
 import java.nio.charset.StandardCharsets;
@@ -134,24 +131,15 @@
     private void readHead(HttpRequest request) {
         headStartedMillis = 0;
         encoder.expectResponseTo(request.method());
-        Throwable failure = request.decoderResult().cause();
-        if (failure instanceof TooLongHttpHeaderException || failure instanceof TooLongHttpLineException) {
-            refuse(
-                    HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                    "request line or headers too long: send shorter ones");
-            return;
-        }
-        Optional<String> problem = Framing.problem(request);
-        if (problem.isPresent()) {
-            refuse(HttpResponseStatus.BAD_REQUEST, problem.get());
+        Optional<RejectedHead> rejected = RejectedHead.of(request, limits.get());
+        if (rejected.isPresent()) {
+            refuse(rejected.get());
             return;
         }
         head = request;
         headArrivedMillis = clockMillis.getAsLong();
         body = Unpooled.buffer();
-        if (HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
-            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "request body too long: send a shorter one");
-        } else if (HttpUtil.is100ContinueExpected(request)) {
+        if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -159,12 +147,12 @@
 
     private void readContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            refuse(HttpResponseStatus.BAD_REQUEST, "malformed chunked body");
+            refuse(RejectedHead.MALFORMED_BODY);
             return;
         }
         if (body.readableBytes() + content.content().readableBytes()
                 > limits.get().maxBodyBytes()) {
-            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "request body too long: send a shorter one");
+            refuse(RejectedHead.BODY_TOO_LONG);
             return;
         }
         body.writeBytes(content.content());
@@ -211,15 +199,10 @@
     /**
      * Refuses a request whose end is unknown, and closes the connection, since no later request on it can be delimited.
      */
-    private void refuse(HttpResponseStatus status, String message) {
+    private void refuse(RejectedHead rejected) {
         closing = true;
         head = null;
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(message + "\n", StandardCharsets.UTF_8));
-        response.headers()
-                .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(rejected.response()).addListener(ChannelFutureListener.CLOSE);
     }
 
     /**
@@ -231,7 +214,7 @@
             return;
         }
         CallerLimits now = limits.get();
-        long unsent = unsentBytes();
+        long unsent = UnsentBytes.of(channel);
         if (unsent > 0) {
             if (unsent != lastUnsentBytes) {
                 lastUnsentBytes = unsent;
@@ -245,27 +228,18 @@
             return;
         }
         if (headStartedMillis != 0 && nowMillis - headStartedMillis > now.headerTimeoutMillis()) {
-            refuse(
-                    HttpResponseStatus.REQUEST_TIMEOUT,
-                    "request headers incomplete after the timeout: send them faster");
+            refuse(RejectedHead.HEAD_TOO_SLOW);
         } else if (nowMillis - lastReadMillis > now.idleTimeoutMillis()) {
             close();
         }
     }
 
     void closeIfIdle() {
-        if (activeResponse == null && head == null && headStartedMillis == 0 && unsentBytes() == 0) {
+        if (activeResponse == null && head == null && headStartedMillis == 0 && UnsentBytes.of(channel) == 0) {
             close();
         }
     }
 
-    /** Returns the bytes of responses that the caller has yet to take. */
-    private long unsentBytes() {
-        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-        // What was sent of the message in progress still counts as pending.
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
-    }
-
     void close() {
         closing = true;
         channel.close();
--- a/edge/src/main/java/org/ragwortpitch/edge/front/CallerResponse.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/CallerResponse.java
@@ -34,8 +34,8 @@
     void abort();
 
     /**
-     * Cancels the request if its caller has closed the connection and the event loop was too busy to see it. To be called
-     * before work is done for a request that has waited.
+     * Cancels the request if its caller has closed the connection and the event loop was too busy to see it. To be
+     * called before work is done for a request that has waited.
      */
     default void checkCaller() {}
 
--- a/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/front/FrontServer.java
@@ -34,8 +34,8 @@
     private static final WriteBufferWaterMark WRITE_WATERMARKS = new WriteBufferWaterMark(32_768, 131_072);
 
     /**
-     * Time without a turn of the event loop after which requests that wait may have lost their callers, in milliseconds;
-     * longer than the pause between the checks of timeouts.
+     * Time without a turn of the event loop after which requests that wait may have lost their callers, in
+     * milliseconds; longer than the pause between the checks of timeouts.
      */
     private static final long STALLED_MILLIS = 300;
 
--- a/edge/src/main/java/org/ragwortpitch/edge/http/OutboundRequest.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/http/OutboundRequest.java
@@ -28,6 +28,16 @@
      * Creates a request whose attempt id, if it has one, is repeated in every response.
      */
     public OutboundRequest(String method, String target, HttpHeaders headers, ByteBuf body, String attemptId) {
-        this(method, target, headers, body, attemptId, !attemptId.isEmpty(), () -> {});
+        this(method, target, headers, body, attemptId, () -> {});
+    }
+
+    /**
+     * Creates a request whose attempt id, if it has one, is repeated in every response.
+     *
+     * @param beforeSend run once a new connection is open, before the request is sent there; it may cancel the request
+     */
+    public OutboundRequest(
+            String method, String target, HttpHeaders headers, ByteBuf body, String attemptId, Runnable beforeSend) {
+        this(method, target, headers, body, attemptId, !attemptId.isEmpty(), beforeSend);
     }
 }
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Exchange.java
@@ -153,13 +153,7 @@
         sends.recordSend();
         answerLog.recordSend(target.endpoint().id());
         return new OutboundRequest(
-                request.method(),
-                request.target(),
-                headers,
-                request.body(),
-                attemptId,
-                !attemptId.isEmpty(),
-                response::checkCaller);
+                request.method(), request.target(), headers, request.body(), attemptId, response::checkCaller);
     }
 
     /**
--- a/edge/src/test/java/org/ragwortpitch/edge/traffic/GossipingDaemons.java
+++ b/edge/src/test/java/org/ragwortpitch/edge/traffic/GossipingDaemons.java
@@ -48,9 +48,9 @@
 
     static final long SECOND_MILLIS = 1_000;
 
-    final Map<String, Member> members = new TreeMap<>();
-    long nowMillis = 1_000;
-    int crossDomainDatagrams;
+    private final Map<String, Member> members = new TreeMap<>();
+    private long nowMillis = 1_000;
+    private int crossDomainDatagrams;
 
     @BeforeEach
     void startAll() {
@@ -61,6 +61,18 @@
         advance(2 * SECOND_MILLIS);
     }
 
+    Map<String, Member> members() {
+        return members;
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    int crossDomainDatagrams() {
+        return crossDomainDatagrams;
+    }
+
     void advance(long millis) {
         for (long end = nowMillis + millis; nowMillis < end; nowMillis += GossipRound.STEP_MILLIS) {
             members.values().forEach(member -> member.gossiper.sendRound());
@@ -87,16 +99,16 @@
      */
     final class Member implements PeerAnnouncements {
 
-        final Daemon self;
-        final PeerView peers;
-        final AccountRateLimits accounts = new AccountRateLimits(true);
-        final PoisonRequests poison = new PoisonRequests((block, crashes) -> {});
-        final StreamOrigins origins = new StreamOrigins();
-        final EndpointTable endpoints;
-        final Gossiper gossiper;
-        final Set<String> departed = new TreeSet<>();
-        long endpointsChanged = -1;
-        PeerStatus status = PeerStatus.of(true);
+        private final Daemon self;
+        private final PeerView peers;
+        private final AccountRateLimits accounts = new AccountRateLimits(true);
+        private final PoisonRequests poison = new PoisonRequests((block, crashes) -> {});
+        private final StreamOrigins origins = new StreamOrigins();
+        private final EndpointTable endpoints;
+        private final Gossiper gossiper;
+        private final Set<String> departed = new TreeSet<>();
+        private long endpointsChanged = -1;
+        private PeerStatus status = PeerStatus.of(true);
 
         Member(String name) {
             self = new Daemon(new InstanceId(name), 1, new FailureDomain(name.substring(0, 1)), name, name);
@@ -172,5 +184,49 @@
         org.ragwortpitch.placement.EngineState engine() {
             return state().engine();
         }
+
+        Daemon self() {
+            return self;
+        }
+
+        PeerView peers() {
+            return peers;
+        }
+
+        AccountRateLimits accounts() {
+            return accounts;
+        }
+
+        PoisonRequests poison() {
+            return poison;
+        }
+
+        StreamOrigins origins() {
+            return origins;
+        }
+
+        EndpointTable endpoints() {
+            return endpoints;
+        }
+
+        Gossiper gossiper() {
+            return gossiper;
+        }
+
+        Set<String> departed() {
+            return departed;
+        }
+
+        long endpointsChanged() {
+            return endpointsChanged;
+        }
+
+        PeerStatus status() {
+            return status;
+        }
+
+        void setStatus(PeerStatus now) {
+            status = now;
+        }
     }
 }
