Choose engines within the domains that a request prefers

Cause: an engine of another domain costs a fixed 20 ms, whatever the load. Change: while its domain is full, a request stays where it meets its target, and a selected one leaves when it would not meet it comfortably. It is placed as before if it would miss its target or not be admitted otherwise, if the domain lacks a role, or if the route has no target. Domains with room keep away from full ones.

--- a/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
@@ -6,11 +6,15 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.identity.EndpointId;
 import org.ragwortpitch.identity.FailureDomain;
+import org.ragwortpitch.overflow.RequestDomains;
 
 /**
  * Chooses the engines with the lowest cost: the estimated time to the first event plus penalties, expressed in
@@ -82,6 +86,81 @@
      * @return empty if there is no decode engine among the candidates
      */
     public Optional<Placement> choose(Generation generation, Collection<EngineState> engines, double targetMillis) {
+        return chooseAmong(generation, engines, targetMillis);
+    }
+
+    /**
+     * Chooses engines within the domains that a request prefers. If it would miss its target there, it is placed among
+     * all engines, as without a preference.
+     *
+     * @param engines      the candidates, of all roles
+     * @param targetMillis the target for the time to the first event, in milliseconds; 0 if there is none, in which
+     *                     case the preference is ignored
+     * @return empty if there is no decode engine among the candidates
+     */
+    public Optional<Placement> choose(
+            Generation generation, Collection<EngineState> engines, double targetMillis, RequestDomains domains) {
+        if (domains.isAny() || targetMillis <= 0) {
+            return chooseAmong(generation, engines, targetMillis);
+        }
+        Predicate<FailureDomain> preferred = domains.ownOnly()
+                ? domain::equals
+                : candidate -> !domains.avoided().contains(candidate);
+        Optional<Placement> near = chooseAmong(generation, inDomains(engines, preferred), targetMillis);
+        double staysMillis = domains.target().isPresent() ? COMFORTABLE_SHARE * targetMillis : targetMillis;
+        if (near.filter(placement -> serves(placement, generation, staysMillis)).isPresent()) {
+            return near;
+        }
+        Optional<Placement> away = domains.target()
+                .filter(target -> hasDecodeEngine(engines, target))
+                .flatMap(target -> chooseAmong(generation, inDomains(engines, target::equals), targetMillis))
+                .filter(placement -> serves(placement, generation, targetMillis));
+        if (away.isPresent() && isWorthLeaving(near, away.get(), generation)) {
+            return away;
+        }
+        return near.filter(placement -> serves(placement, generation, targetMillis))
+                .or(() -> chooseAmong(generation, engines, targetMillis));
+    }
+
+    private static boolean isWorthLeaving(Optional<Placement> near, Placement away, Generation generation) {
+        return near.filter(placement -> !isSaturated(placement.decodeEngine(), generation))
+                .filter(placement -> placement.firstEventMillis() <= away.firstEventMillis() + OTHER_DOMAIN_MILLIS)
+                .isEmpty();
+    }
+
+    /**
+     * Returns whether a placement is within a limit, admits requests of every priority, and leaves the decode engine
+     * unsaturated, so that a preference refuses no request that is otherwise served.
+     */
+    private static boolean serves(Placement placement, Generation generation, double limitMillis) {
+        return placement.firstEventMillis() <= limitMillis
+                && placement.isAdmissible((int) limitMillis, Integer.MAX_VALUE)
+                && !isSaturated(placement.decodeEngine(), generation);
+    }
+
+    /**
+     * Returns the engines of some domains; for a role that they have no engines of, those of all domains.
+     */
+    private static List<EngineState> inDomains(Collection<EngineState> engines, Predicate<FailureDomain> domains) {
+        Set<EndpointRole> present = engines.stream()
+                .filter(engine -> domains.test(engine.endpoint().domain()))
+                .map(engine -> engine.endpoint().role())
+                .collect(Collectors.toSet());
+        return engines.stream()
+                .filter(engine -> domains.test(engine.endpoint().domain())
+                        || !present.contains(engine.endpoint().role()))
+                .toList();
+    }
+
+    private static boolean hasDecodeEngine(Collection<EngineState> engines, FailureDomain target) {
+        return engines.stream()
+                .map(EngineState::endpoint)
+                .anyMatch(endpoint -> endpoint.role() == EndpointRole.DECODE
+                        && endpoint.domain().equals(target));
+    }
+
+    private Optional<Placement> chooseAmong(
+            Generation generation, Collection<EngineState> engines, double targetMillis) {
         List<EngineState> decodeEngines = withRole(engines, EndpointRole.DECODE);
         List<EngineState> prefillEngines = withRole(engines, EndpointRole.PREFILL);
         Choice best = null;
@@ -166,13 +245,23 @@
     }
 
     private double penaltyMillis(EngineState engine, Generation generation) {
+        return domainMillis(engine)
+                + RUNNING_MILLIS * engine.totalRunning()
+                + SATURATED_MILLIS * TENTHS_PER_UNIT * saturation(engine, generation);
+    }
+
+    private static boolean isSaturated(EngineState engine, Generation generation) {
+        return saturation(engine, generation) > 0;
+    }
+
+    /**
+     * Returns the part of the capacity by which an engine with this request is beyond the saturated share.
+     */
+    private static double saturation(EngineState engine, Generation generation) {
         double slots = (engine.totalRunning() + 1.0) / engine.spec().slots();
         double memory = (engine.totalKvCacheTokens() + generation.quotaTokens())
                 / (double) engine.spec().kvCapacityTokens();
-        double excess = Math.max(0, Math.max(slots, memory) - SATURATED_SHARE);
-        return domainMillis(engine)
-                + RUNNING_MILLIS * engine.totalRunning()
-                + SATURATED_MILLIS * TENTHS_PER_UNIT * excess;
+        return Math.max(0, Math.max(slots, memory) - SATURATED_SHARE);
     }
 
     private double domainMillis(EngineState engine) {
--- a/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
+++ b/policy/src/test/java/org/ragwortpitch/placement/EngineChooserTest.java
@@ -8,8 +8,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.ragwortpitch.configuration.EndpointRole;
 import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.EngineSpec;
@@ -19,6 +24,7 @@
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
+import org.ragwortpitch.overflow.RequestDomains;
 
 /**
  * Tests the choice of prefill and decode engines for many subjects, each with a long shared prefix and a short suffix
@@ -166,4 +172,97 @@
         engine.updatePeerLoad(peer, new PeerLoad(0, 0, 0));
         assertEquals(0, engine.totalRunning() + engine.totalKvCacheTokens() + engine.totalPrefillTokens());
     }
+
+    private static final FailureDomain FULL = new FailureDomain("full");
+
+    /** Queue of a decode engine that leaves prompts to the prefill engines. */
+    private static final long BUSY_TOKENS = 200_000;
+
+    private static final Generation PROMPT = new Generation(4_000, 100, List.of());
+
+    /** One decode and one prefill engine in the own domain and two others, with equal queues in the others. */
+    private static List<EngineState> engines(long queuedHere, long queuedThere) {
+        List<EngineState> engines = new ArrayList<>();
+        for (FailureDomain domain : List.of(LOCAL, REMOTE, FULL)) {
+            EngineState decode = engine("d-" + domain, EndpointRole.DECODE, domain);
+            decode.requestStarted(0, BUSY_TOKENS);
+            engines.add(decode);
+            EngineState prefill = engine("r-" + domain, EndpointRole.PREFILL, domain);
+            prefill.requestStarted(0, domain.equals(LOCAL) ? queuedHere : queuedThere);
+            engines.add(prefill);
+        }
+        return engines;
+    }
+
+    /**
+     * Cases: tokens queued here and elsewhere, whether the hash selects the request, and the domains of its engines.
+     * The target of 1,000 ms is met comfortably behind 5,000 tokens, just met behind 16,000 and missed behind 22,000.
+     * Guards against requests that leave a domain which serves them in time, and against those that stay to miss their
+     * target.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "5000, 0, false, here, here",
+        "5000, 0, true, here, here",
+        "16000, 0, false, here, here",
+        "16000, 0, true, there, there",
+        "22000, 0, true, there, there",
+        "22000, 22000, true, here, here",
+        "60000, 0, false, there, here",
+        "60000, 0, true, there, there",
+    })
+    void testRequestLeavesAFullDomain(long here, long there, boolean selected, String prefill, String decode) {
+        RequestDomains domains =
+                new RequestDomains(true, selected ? Optional.of(REMOTE) : Optional.empty(), Set.of(FULL));
+        List<EngineState> engines = engines(here, there);
+        Placement placement = chooser.choose(PROMPT, engines, 1_000, domains).orElseThrow();
+        assertEquals(decode, placement.decodeEngine().endpoint().domain().value());
+        assertEquals(prefill, prefillDomain(engines, domains).value());
+    }
+
+    /**
+     * Guards against refusals and slower placements where the own domain lacks a role.
+     */
+    @ParameterizedTest
+    @EnumSource(
+            value = EndpointRole.class,
+            names = {"DECODE", "PREFILL"})
+    void testPreferenceKeepsPlacementWhereTheDomainLacksARole(EndpointRole role) {
+        List<EngineState> engines = engines(0, 0);
+        engines.removeIf(engine ->
+                engine.endpoint().role() == role && !engine.endpoint().domain().equals(REMOTE));
+        Placement before = chooser.choose(PROMPT, engines, 1_000).orElseThrow();
+        RequestDomains domains = new RequestDomains(true, Optional.empty(), Set.of());
+        Placement now = chooser.choose(PROMPT, engines, 1_000, domains).orElseThrow();
+        assertEquals(before, now);
+    }
+
+    /**
+     * Guards against a preference that keeps a request in a domain whose decode engine is saturated.
+     */
+    @Test
+    void testRequestLeavesASaturatedDecodeEngine() {
+        List<EngineState> engines = engines(0, 0);
+        engines.get(0).requestStarted(490_000, 0);
+        RequestDomains domains = new RequestDomains(true, Optional.empty(), Set.of());
+        Placement placement = chooser.choose(PROMPT, engines, 1_000, domains).orElseThrow();
+        assertNotEquals(LOCAL, placement.decodeEngine().endpoint().domain());
+    }
+
+    /**
+     * Guards against requests of a domain with room that add to the queue of a full one.
+     */
+    @Test
+    void testFullDomainIsAvoidedByOthers() {
+        List<EngineState> engines = engines(12_000, 12_000);
+        engines.removeIf(engine -> engine.endpoint().domain().equals(REMOTE));
+        engines.get(3).prefillEnded(12_000);
+        assertNotEquals(LOCAL, prefillDomain(engines, RequestDomains.ANY));
+        assertEquals(LOCAL, prefillDomain(engines, new RequestDomains(false, Optional.empty(), Set.of(FULL))));
+    }
+
+    private FailureDomain prefillDomain(List<EngineState> engines, RequestDomains domains) {
+        Placement placement = chooser.choose(PROMPT, engines, 1_000, domains).orElseThrow();
+        return placement.prefillEngine().orElseThrow().endpoint().domain();
+    }
 }
