Gossip overflow shares and apply them to generations

Cause: the shares need the demand of each domain, and daemons of one domain have to agree on whether it is full. Change: PoolDemands keeps the demand of each domain, PoolOverflows computes the shares with each report of the traffic thread, and daemons gossip them.

--- a/edge/src/main/java/org/ragwortpitch/edge/Edge.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/Edge.java
@@ -296,7 +296,7 @@
         FaultBarrier.schedule(
                 trafficLoop, "count usage", USAGE_MILLIS, () -> recordUsage(usage.drainEnded(medianMillis())));
         TrafficReports reports = new TrafficReports(
-                controlLoop, control, table, demands, gossiper, this::isCutOffAlone, this::isStoreReader, clockMillis);
+                controlLoop, control, gossipContext(), gossiper, metrics, this::isCutOffAlone, this::isStoreReader);
         FaultBarrier.schedule(trafficLoop, "report traffic", SAMPLE_MILLIS, reports::publish);
         controlLoop.execute(control::start);
         Event started = Event.of("started").with("born", self.startMillis());
--- a/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/TrafficReports.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.function.LongSupplier;
 import org.ragwortpitch.deployment.EndpointIncarnation;
 import org.ragwortpitch.edge.control.Control;
+import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.traffic.EndpointTable;
+import org.ragwortpitch.edge.traffic.GossipContext;
 import org.ragwortpitch.edge.traffic.Gossiper;
-import org.ragwortpitch.edge.traffic.PoolDemands;
 import org.ragwortpitch.evacuation.Evacuations;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
@@ -20,29 +20,32 @@
 /**
  * Reports to the control thread what the traffic thread sees.
  *
+ * @param context     what the traffic thread knows
  * @param cutOffAlone whether this daemon reaches no endpoint while another daemon does
  * @param storeReader whether this daemon reads the store closely on behalf of all
- * @param clockMillis the monotonic clock, in milliseconds
  */
 record TrafficReports(
         EventLoop controlLoop,
         Control control,
-        EndpointTable table,
-        PoolDemands demands,
+        GossipContext context,
         Gossiper gossiper,
+        EdgeMetrics metrics,
         BooleanSupplier cutOffAlone,
-        BooleanSupplier storeReader,
-        LongSupplier clockMillis) {
+        BooleanSupplier storeReader) {
 
     /**
      * Reports the present state. Called periodically on the traffic thread.
      */
     void publish() {
-        table.refreshSpeeds(clockMillis.getAsLong());
-        Map<PoolId, PoolDemand> sample = demands.sample(table, clockMillis.getAsLong());
+        long now = context.clockMillis().getAsLong();
+        EndpointTable table = context.endpoints();
+        table.refreshSpeeds(now);
+        context.demands().overflows().refresh(context.self().domain(), table, now);
+        context.demands().overflows().forEach(metrics::setOverflow);
+        Map<PoolId, PoolDemand> sample = context.demands().sample(table, now);
         Map<Long, Map<DaemonIncarnation, Map<AccountId, Long>>> peerCounts = gossiper.receivedCounts();
         Set<EndpointIncarnation> saidToLeave = table.saidToLeave();
-        Set<EndpointId> resting = table.resting(clockMillis.getAsLong());
+        Set<EndpointId> resting = table.resting(now);
         Evacuations evacuations = table.evacuations();
         boolean readsStore = storeReader.getAsBoolean();
         boolean suspendDuties = !readsStore || cutOffAlone.getAsBoolean();
--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -9,12 +9,18 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.ragwortpitch.deployment.Route;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
+import org.ragwortpitch.overflow.DomainShares;
 import org.ragwortpitch.placement.EngineSpeed;
 import org.ragwortpitch.response.ResponseOrigin;
 
@@ -85,6 +91,12 @@
             .help("Learned times of a pool's engines, by what they take them for")
             .labelNames("pool", "figure")
             .register(registry);
+    private final Gauge overflowShares = Gauge.builder()
+            .name("ragwortpitch_overflow_share")
+            .help("Share of a pool's demand in this failure domain that may leave for another one")
+            .labelNames("pool", "target")
+            .register(registry);
+    private final Map<PoolId, Set<FailureDomain>> overflowTargets = new HashMap<>();
 
     /**
      * Records the outcome of a request and the time of its whole answer, in milliseconds.
@@ -166,6 +178,17 @@
         deploymentVersion.set(inForce);
     }
 
+    /**
+     * Sets the shares of a pool's demand that may leave for other failure domains. Called on one thread.
+     */
+    public void setOverflow(PoolId pool, DomainShares shares) {
+        Set<FailureDomain> known = overflowTargets.computeIfAbsent(pool, id -> new HashSet<>());
+        known.addAll(shares.targets().keySet());
+        known.forEach(domain -> overflowShares
+                .labelValues(pool.value(), domain.value())
+                .set(shares.targets().getOrDefault(domain, 0.0)));
+    }
+
     /**
      * Reports the number of evacuated failure domains from now on.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/EngineSelector.java
@@ -12,6 +12,7 @@
 import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.identity.SoftwareVersion;
+import org.ragwortpitch.overflow.RequestDomains;
 import org.ragwortpitch.placement.EngineChooser;
 import org.ragwortpitch.placement.Placement;
 
@@ -22,6 +23,7 @@
  * @param targetMillis the target for the time to the first event, in milliseconds
  * @param homes        the regions that may serve the generation
  * @param domains      the failure domains in those regions
+ * @param preferred    the failure domains that the generation prefers among those
  */
 record EngineSelector(
         EndpointTable endpoints,
@@ -30,7 +32,8 @@
         Generation generation,
         int targetMillis,
         Homes homes,
-        Predicate<FailureDomain> domains) {
+        Predicate<FailureDomain> domains,
+        RequestDomains preferred) {
 
     /**
      * Returns the engines with the lowest cost; empty if none can decode.
@@ -50,7 +53,8 @@
                         .filter(state -> !isDecoder(state) || hasVersion(state, version))
                         .map(EndpointState::engine)
                         .toList(),
-                targetMillis);
+                targetMillis,
+                preferred);
     }
 
     /**
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GossipWriter.java
@@ -153,6 +153,7 @@
                         .setBornMillis(endpoint.startMillis())));
         gossip.addAllEvacuations(EvacuationCodec.encode(context.endpoints().evacuations()));
         long nowMillis = context.clockMillis().getAsLong();
+        gossip.addAllOverflows(context.demands().overflows().encode(nowMillis));
         addCold(gossip, steps, nowMillis);
         context.poisonRequests()
                 .crashesChangedSince(toldSinceMillis(steps, nowMillis), nowMillis)
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/Gossiper.java
@@ -18,6 +18,7 @@
 import org.ragwortpitch.edge.peer.StoreContact;
 import org.ragwortpitch.identity.AccountId;
 import org.ragwortpitch.identity.EndpointId;
+import org.ragwortpitch.identity.FailureDomain;
 import org.ragwortpitch.identity.InstanceId;
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.DaemonIncarnation;
@@ -187,6 +188,7 @@
         for (PoolReading reading : gossip.getReadingsList()) {
             context.demands().recordDirectPeer(peer, startMillis, new PoolId(reading.getPool()), reading.getTokens());
         }
+        context.demands().overflows().recordShares(context.self().domain(), gossip.getOverflowsList(), now);
         EngineSpeedCodec.learn(context.endpoints(), peer, gossip.getEngineSpeedsList(), now);
         List<EndpointId> avoided =
                 gossip.getChangingList().stream().map(EndpointId::new).toList();
@@ -230,9 +232,7 @@
             context.accounts()
                     .peerSpent(domain, incarnation, new AccountId(spend.getAccount()), spend.getTokens(), now);
         }
-        for (PoolReading reading : gossip.getReadingsList()) {
-            context.demands().recordPeer(domain, incarnation, new PoolId(reading.getPool()), reading.getTokens());
-        }
+        receiveDemand(gossip, domain, incarnation, now);
         EngineSpeedCodec.learn(context.endpoints(), domain, gossip.getEngineSpeedsList(), now);
         context.endpoints()
                 .avoid(
@@ -248,6 +248,15 @@
         }
     }
 
+    private void receiveDemand(Gossip digest, InstanceId sender, long incarnation, long nowMillis) {
+        FailureDomain domain = new FailureDomain(digest.getDigestOf());
+        for (PoolReading reading : digest.getReadingsList()) {
+            PoolId pool = new PoolId(reading.getPool());
+            context.demands().recordDomain(domain, sender, incarnation, pool, reading.getTokens(), nowMillis);
+        }
+        context.demands().overflows().recordShares(domain, digest.getOverflowsList(), nowMillis);
+    }
+
     /**
      * Records the store offset of the newest change of the endpoints that this daemon has read, for its next datagrams.
      */
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
@@ -55,7 +55,8 @@
                 generation,
                 exchange.route().targetMillis(),
                 homes,
-                regions.endpointDomains(homes));
+                regions.endpointDomains(homes),
+                demands.overflows().decide(pool, generation, exchange.attemptId()));
     }
 
     /**
