Count the bytes of generations between failure domains

Cause: traffic between domains is paid by the byte, and nothing showed it. Change: counter ragwortpitch_domain_traffic_bytes_total of prompts and KV caches, by pair of domains. Measured: EdgeMetricsTest (2), all of edge.traffic, EdgeTest, EvacuationTest, HomeRegionsTest, ResumedStreamTest, EndpointFaultsTest and TwoDaemonsTest pass (377 in all).

--- a/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/directory/EdgeMetrics.java
@@ -96,6 +96,11 @@
             .help("Share of a pool's demand in this failure domain that may leave for another one")
             .labelNames("pool", "target")
             .register(registry);
+    private final Counter domainTraffic = Counter.builder()
+            .name("ragwortpitch_domain_traffic_bytes_total")
+            .help("Bytes of requests and KV caches of generations sent from one failure domain to another")
+            .labelNames("from", "to")
+            .register(registry);
     private final Map<PoolId, Set<FailureDomain>> overflowTargets = new HashMap<>();
 
     /**
@@ -189,6 +194,15 @@
                 .set(shares.targets().getOrDefault(domain, 0.0)));
     }
 
+    /**
+     * Counts bytes of a generation that go from one failure domain to another; none within a domain.
+     */
+    public void recordDomainTraffic(FailureDomain from, FailureDomain to, long bytes) {
+        if (!from.equals(to)) {
+            domainTraffic.labelValues(from.value(), to.value()).inc(bytes);
+        }
+    }
+
     /**
      * Reports the number of evacuated failure domains from now on.
      *
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/GenerationRun.java
@@ -139,6 +139,7 @@
             return;
         }
         log.placed(placement, generation, exchange.request().headers().get(Headers.RESUMED_ATTEMPT), sequence.lastId());
+        context.recordTraffic(placement, generation, exchange.request().body().readableBytes());
         placement.prefillEngine().ifPresent(this::recordAssigned);
         recordAssigned(placement.decodeEngine());
         if (withPrefill) {
--- a/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
+++ b/edge/src/main/java/org/ragwortpitch/edge/traffic/TrafficContext.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.ragwortpitch.deployment.Endpoint;
 import org.ragwortpitch.deployment.Generation;
 import org.ragwortpitch.edge.directory.EdgeMetrics;
 import org.ragwortpitch.edge.http.ConnectionPool;
@@ -12,6 +13,7 @@
 import org.ragwortpitch.identity.PoolId;
 import org.ragwortpitch.ledger.WindowCounts;
 import org.ragwortpitch.placement.EngineChooser;
+import org.ragwortpitch.placement.Placement;
 import org.ragwortpitch.resumption.StreamOrigins;
 
 /**
@@ -59,6 +61,20 @@
                 demands.overflows().decide(pool, generation, exchange.attemptId()));
     }
 
+    /**
+     * Counts the bytes of a request and of its transferred KV cache that go from one failure domain to another.
+     */
+    void recordTraffic(Placement placement, Generation generation, int bodyBytes) {
+        Endpoint decode = placement.decodeEngine().endpoint();
+        metrics.recordDomainTraffic(domain, decode.domain(), bodyBytes);
+        placement.prefillEngine().ifPresent(engine -> {
+            FailureDomain prefill = engine.endpoint().domain();
+            long cacheBytes = generation.promptTokens() * engine.spec().kvBytesPerToken();
+            metrics.recordDomainTraffic(domain, prefill, bodyBytes);
+            metrics.recordDomainTraffic(prefill, decode.domain(), cacheBytes);
+        });
+    }
+
     /**
      * Returns the failure domains whose daemons may get a request that this daemon got from its caller.
      */
