--- a/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
+++ b/policy/src/main/java/org/ragwortpitch/placement/EngineChooser.java
@@ -50,7 +50,7 @@
     /** Share of the target within which another engine has to serve a prompt that leaves the fast ones alone. */
     private static final double COMFORTABLE_SHARE = 0.7;
 
-    /** Share of the target up to which a request keeps to its domain; beyond, errors of estimates make it miss often. */
+    /** Share of the target up to which a request keeps to its domain; beyond, estimate errors often make it miss. */
     private static final double LIKELY_SHARE = 0.85;
 
     /** Wait on another engine, in milliseconds, above which the fast ones take any prompt: they would idle else. */
