Review: servers that have left get requests while one partition is down

Tried: two of three servers leave by the end of their entries while another partition of the store answers 503 for 4.5 s.

--- a/review/standin-2/Main.java
+++ b/review/standin-2/Main.java
@@ -14,7 +14,8 @@
 
     private static final Map<String, Case> CASES = Map.of(
             "config-regress", ConfigRegressCase::run,
-            "late-call", LateCallCase::run);
+            "late-call", LateCallCase::run,
+            "drain", DrainCase::run);
 
     /** A case. */
     interface Case {
--- a/review/standin-2/Platform.java
+++ b/review/standin-2/Platform.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -35,8 +36,10 @@
     private final Map<String, Long> members = new LinkedHashMap<>();
     private final List<DutyCall> duties = new ArrayList<>();
     private final Map<String, Long> fences = new HashMap<>();
+    private final Map<Integer, Map<Long, Long>> serverReads = new HashMap<>();
     private String holder = "";
     private long generation;
+    private String downTopic = "";
 
     /**
      * Starts the platform.
@@ -46,7 +49,7 @@
     Platform(boolean fenced) throws IOException {
         this.fenced = fenced;
         server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-        Threads.start(() -> Threads.accept(server, socket -> serve(socket, Map.of())));
+        Threads.start(() -> Threads.accept(server, socket -> serve(socket, server.getLocalPort(), Map.of())));
     }
 
     /**
@@ -57,7 +60,7 @@
      */
     int view(Map<Integer, Integer> ports) throws IOException {
         ServerSocket view = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-        Threads.start(() -> Threads.accept(view, socket -> serve(socket, ports)));
+        Threads.start(() -> Threads.accept(view, socket -> serve(socket, view.getLocalPort(), ports)));
         return view.getLocalPort();
     }
 
@@ -69,8 +72,26 @@
         return server.getLocalPort();
     }
 
-    /** Writes a record of a keyed topic, as the operator and the servers do; without a value, the key is dropped. */
-    synchronized void put(String topic, String key, String value) {
+    /** Answers 503 to all calls that name a topic, whose partition is down; an empty name stands for none. */
+    synchronized void down(String topic) {
+        downTopic = topic;
+    }
+
+    private synchronized boolean isDown(String topic) {
+        return !downTopic.isEmpty() && downTopic.equals(topic);
+    }
+
+    /** Returns when a record of the servers' topic was first read at a port of the store; empty if it was not. */
+    synchronized Optional<Long> readMillis(int view, long offset) {
+        return Optional.ofNullable(serverReads.getOrDefault(view, Map.of()).get(offset));
+    }
+
+    /**
+     * Writes a record of a keyed topic, as the operator and the servers do; without a value, the key is dropped.
+     *
+     * @return the record's offset
+     */
+    synchronized long put(String topic, String key, String value) {
         byte[] name = key.getBytes(StandardCharsets.UTF_8);
         byte[] content = value.getBytes(StandardCharsets.UTF_8);
         topic(topic)
@@ -80,6 +101,7 @@
                         .put(content)
                         .array());
         notifyAll();
+        return topic(topic).size() - 1;
     }
 
     synchronized List<DutyCall> duties() {
@@ -98,16 +120,17 @@
         return topics.computeIfAbsent(name, key -> new ArrayList<>());
     }
 
-    private void serve(Socket socket, Map<Integer, Integer> ports) throws IOException {
+    private void serve(Socket socket, int view, Map<Integer, Integer> ports) throws IOException {
         socket.setTcpNoDelay(true);
         InputStream in = new BufferedInputStream(socket.getInputStream());
         OutputStream out = socket.getOutputStream();
         for (Http.Message request = Http.read(in); request != null; request = Http.read(in)) {
-            answer(request, out, ports);
+            answer(request, out, view, ports);
         }
     }
 
-    private void answer(Http.Message request, OutputStream out, Map<Integer, Integer> ports) throws IOException {
+    private void answer(Http.Message request, OutputStream out, int view, Map<Integer, Integer> ports)
+            throws IOException {
         String target = request.word(1);
         int mark = target.indexOf('?');
         String path = mark < 0 ? target : target.substring(0, mark);
@@ -120,6 +143,10 @@
                         URLDecoder.decode(field.substring(equals + 1), StandardCharsets.UTF_8));
             }
         }
+        if (isDown(query.get("Topic"))) {
+            json(out, 503, "{}");
+            return;
+        }
         switch (path) {
             case "/log-newest" -> json(out, 200, newest(query.get("Topic"), ports));
             case "/log-append" -> json(out, 200, append(query.get("Topic"), request.body()));
@@ -133,6 +160,7 @@
                             query.get("Topic"),
                             Integer.parseInt(query.get("From")),
                             Long.parseLong(query.getOrDefault("WaitMs", "0")),
+                            view,
                             ports));
             default -> json(out, duty(path, request), "{}");
         }
@@ -189,7 +217,8 @@
         return "{\"Offset\":" + offset + ",\"EndOffset\":" + records.size() + "}";
     }
 
-    private synchronized byte[] read(String topic, int from, long waitMillis, Map<Integer, Integer> ports) throws IOException {
+    private synchronized byte[] read(
+            String topic, int from, long waitMillis, int view, Map<Integer, Integer> ports) throws IOException {
         long until = Threads.millis() + waitMillis;
         try {
             for (long left = waitMillis; topic(topic).size() <= from && left > 0; left = until - Threads.millis()) {
@@ -199,6 +228,11 @@
             throw new IOException(exception);
         }
         List<byte[]> records = topic(topic);
+        if (topic.equals("keyed.servers")) {
+            for (long offset = from; offset < records.size(); offset++) {
+                serverReads.computeIfAbsent(view, key -> new HashMap<>()).putIfAbsent(offset, Threads.millis());
+            }
+        }
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         DataOutputStream data = new DataOutputStream(body);
         data.writeLong(records.size());
--- a/review/standin-2/Runner.java
+++ b/review/standin-2/Runner.java
@@ -46,6 +46,10 @@
         return id;
     }
 
+    synchronized List<Run> runs() {
+        return List.copyOf(runs);
+    }
+
     synchronized Optional<Run> run(String attempt) {
         return runs.stream().filter(run -> run.attempt().equals(attempt)).findFirst();
     }
