Review: longer headers are denied on channels that were open before

Tried: MaxHeaderBytes is raised while 20 clients keep their channels. Without the change of the limit the case passes.

--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -28,6 +28,11 @@
                 + "\"Unit\":\"generate\",\"PlainTokens\":200,\"RatePerS\":" + limit + ",\"Burst\":" + limit + "}]}";
     }
 
+    /** Returns a version with another limit on the bytes of a request's headers. */
+    static String withHeaderLimit(String version, int bytes) {
+        return version.replace("\"MaxHeaderBytes\":16384", "\"MaxHeaderBytes\":" + bytes);
+    }
+
     static String key(String key) {
         return "\"" + key + "\"";
     }
--- a/review/standin-2/Main.java
+++ b/review/standin-2/Main.java
@@ -15,7 +15,9 @@
     private static final Map<String, Case> CASES = Map.of(
             "config-regress", ConfigRegressCase::run,
             "late-call", LateCallCase::run,
-            "drain", DrainCase::run);
+            "drain", DrainCase::run,
+            "header-limit", HeaderLimitCase::run,
+            "quota", QuotaCase::run);
 
     /** A case. */
     interface Case {
