Review: a draining server gets requests again after the store's drill

Tried: the store comes back from a copy of 5 s before, in which a server that has reported that it drains was ready.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec sh "$(dirname "$0")/../standin-2/run-case.sh" quota "$(cd "$(dirname "$0")" && pwd)"
+exec sh "$(dirname "$0")/../standin-2/run-case.sh" header-limit "$(cd "$(dirname "$0")" && pwd)"
--- a/review/standin-2/Main.java
+++ b/review/standin-2/Main.java
@@ -17,7 +17,8 @@
             "late-call", LateCallCase::run,
             "drain", DrainCase::run,
             "header-limit", HeaderLimitCase::run,
-            "quota", QuotaCase::run);
+            "quota", QuotaCase::run,
+            "restored-drain", RestoredDrainCase::run);
 
     /** A case. */
     interface Case {
@@ -36,24 +37,29 @@
     private Main() {}
 
     /** Runs the named case; the other arguments are the repository, the record's path and whether there is trouble. */
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Threads.limit(LIMIT_MILLIS, COULD_NOT_RUN);
-        Path directory = Files.createTempDirectory("case");
         int exit;
-        try (Record record = new Record(Path.of(arguments[2]))) {
-            try {
-                boolean trouble = Boolean.parseBoolean(arguments[3]);
-                exit = CASES.get(arguments[0]).run(Path.of(arguments[1]), directory, record, trouble);
-            } catch (Exception exception) {
-                record.add("the case could not run: " + exception);
-                exit = COULD_NOT_RUN;
-            }
-            record.add("exit code " + exit);
+        try {
+            exit = play(arguments[0], Path.of(arguments[1]), Path.of(arguments[2]), Boolean.parseBoolean(arguments[3]));
+        } catch (Throwable failure) {
+            System.out.println("the case could not run: " + failure);
+            exit = COULD_NOT_RUN;
         }
-        delete(directory);
         System.exit(exit);
     }
 
+    private static int play(String name, Path root, Path file, boolean trouble) throws Exception {
+        Path directory = Files.createTempDirectory("case");
+        try (Record record = new Record(file)) {
+            int exit = CASES.get(name).run(root, directory, record, trouble);
+            record.add("exit code " + exit);
+            return exit;
+        } finally {
+            delete(directory);
+        }
+    }
+
     private static void delete(Path directory) throws Exception {
         try (Stream<Path> files = Files.walk(directory)) {
             List<Path> deepestFirst = files.sorted(Comparator.reverseOrder()).toList();
--- a/review/standin-2/Platform.java
+++ b/review/standin-2/Platform.java
@@ -40,6 +40,9 @@
     private String holder = "";
     private long generation;
     private String downTopic = "";
+    private final Map<String, List<Long>> writtenMillis = new HashMap<>();
+    private int era = 1;
+    private boolean away;
 
     /**
      * Starts the platform.
@@ -78,7 +81,52 @@
     }
 
     private synchronized boolean isDown(String topic) {
-        return !downTopic.isEmpty() && downTopic.equals(topic);
+        return away || !downTopic.isEmpty() && downTopic.equals(topic);
+    }
+
+    private void recordWritten(String topic) {
+        writtenMillis.computeIfAbsent(topic, key -> new ArrayList<>()).add(Threads.millis());
+    }
+
+    /** Answers 503 to all calls until the store comes back. */
+    synchronized void leave() {
+        away = true;
+    }
+
+    /**
+     * Comes back from an older copy, with the next era: what was written since is gone, and all members have expired.
+     *
+     * @return what the servers have written since, which they write again
+     */
+    synchronized List<byte[]> comeBack(long copyAgeMillis) {
+        long copied = Threads.millis() - copyAgeMillis;
+        List<byte[]> lost = new ArrayList<>();
+        topics.forEach((topic, records) -> {
+            List<Long> times = writtenMillis.getOrDefault(topic, List.of());
+            while (!times.isEmpty() && times.get(times.size() - 1) > copied) {
+                times.remove(times.size() - 1);
+                byte[] record = records.remove(records.size() - 1);
+                if (topic.equals("keyed.servers")) {
+                    lost.add(0, record);
+                }
+            }
+        });
+        members.clear();
+        era++;
+        away = false;
+        notifyAll();
+        return lost;
+    }
+
+    /** Writes a record of the servers' topic again. */
+    synchronized void writeAgain(byte[] record) {
+        topic("keyed.servers").add(record);
+        recordWritten("keyed.servers");
+        notifyAll();
+    }
+
+    private synchronized Map<String, String> headers() {
+        return Map.of("Content-Type", "application/json", "Store-Era", Integer.toString(era));
     }
 
     /** Returns when a record of the servers' topic was first read at a port of the store; empty if it was not. */
@@ -100,6 +148,7 @@
                         .put(name)
                         .put(content)
                         .array());
+        recordWritten(topic);
         notifyAll();
         return topic(topic).size() - 1;
     }
@@ -152,26 +201,27 @@
             case "/log-append" -> json(out, 200, append(query.get("Topic"), request.body()));
             case "/log-join" -> json(out, 200, join(request.text()));
             case "/log-leave" -> json(out, 200, leave(request.text()));
-            case "/log-read" -> Http.write(
-                    out,
-                    "HTTP/1.1 200 OK",
-                    Map.of(),
-                    read(
-                            query.get("Topic"),
-                            Integer.parseInt(query.get("From")),
-                            Long.parseLong(query.getOrDefault("WaitMs", "0")),
-                            view,
-                            ports));
+            case "/log-read" -> {
+                byte[] page = read(
+                        query.get("Topic"),
+                        Integer.parseInt(query.get("From")),
+                        Long.parseLong(query.getOrDefault("WaitMs", "0")),
+                        view,
+                        ports);
+                if (isDown(query.get("Topic"))) {
+                    json(out, 503, "{}");
+                } else if (page.length == 0) {
+                    json(out, 410, "{\"FirstOffset\":0}");
+                } else {
+                    Http.write(out, "HTTP/1.1 200 OK", headers(), page);
+                }
+            }
             default -> json(out, duty(path, request), "{}");
         }
     }
 
-    private static void json(OutputStream out, int status, String body) throws IOException {
-        Http.write(
-                out,
-                "HTTP/1.1 " + status + " Status",
-                Map.of("Content-Type", "application/json"),
-                body.getBytes(StandardCharsets.UTF_8));
+    private void json(OutputStream out, int status, String body) throws IOException {
+        Http.write(out, "HTTP/1.1 " + status + " Status", headers(), body.getBytes(StandardCharsets.UTF_8));
     }
 
     private synchronized String newest(String topic, Map<Integer, Integer> ports) {
@@ -212,6 +262,7 @@
             byte[] record = new byte[buffer.getInt()];
             buffer.get(record);
             records.add(record);
+            recordWritten(topic);
         }
         notifyAll();
         return "{\"Offset\":" + offset + ",\"EndOffset\":" + records.size() + "}";
@@ -221,14 +272,18 @@
             String topic, int from, long waitMillis, int view, Map<Integer, Integer> ports) throws IOException {
         long until = Threads.millis() + waitMillis;
         try {
-            for (long left = waitMillis; topic(topic).size() <= from && left > 0; left = until - Threads.millis()) {
+            for (long left = waitMillis; topic(topic).size() <= from && left > 0 && !away; left = until - Threads.millis()) {
                 wait(left);
             }
         } catch (InterruptedException exception) {
             throw new IOException(exception);
         }
         List<byte[]> records = topic(topic);
-        if (topic.equals("keyed.servers")) {
+        if (from > records.size()) {
+            // An offset that the store doesn't have, as it has come back from an older copy.
+            return new byte[0];
+        }
+        if (topic.equals("keyed.servers") && !away) {
             for (long offset = from; offset < records.size(); offset++) {
                 serverReads.computeIfAbsent(view, key -> new HashMap<>()).putIfAbsent(offset, Threads.millis());
             }
--- a/review/standin-2/Runner.java
+++ b/review/standin-2/Runner.java
@@ -23,6 +23,7 @@
     private final String id;
     private final String service;
     private final ServerSocket server;
+    private final long bornMillis = System.currentTimeMillis();
     private final List<Run> runs = new ArrayList<>();
     Runner(String id, String service) throws IOException {
         this.id = id;
@@ -33,9 +34,13 @@
 
     /** Returns the entry that the server writes into the store. */
     String entry(String zone) {
+        return entry(zone, "ready");
+    }
+
+    String entry(String zone, String state) {
         return "{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:" + server.getLocalPort() + "\",\"Zone\":\"" + zone
-                + "\",\"Version\":\"v1\",\"Slots\":64,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":1,\"born\":"
-                + System.currentTimeMillis() + "}";
+                + "\",\"Version\":\"v1\",\"Slots\":64,\"State\":\"" + state + "\",\"ColdRemainingMs\":0,\"Sequence\":1,\"born\":"
+                + bornMillis + "}";
     }
 
     int port() {
